Serve the thin whole path, each part a process of its own

Cause: nothing existed.

Decisions (config, limit, route, once) are pure; edges (platform, upstream, peer) are traits with one HTTP or h2 adapter each; the gateway puts them together. Stand-ins for engine, plain service and platform.

--- /dev/null
+++ b/crates/rosemarypitch-config/src/lib.rs
@@ -0,0 +1,30 @@
+//! Settings of a process and the configuration document that all hosts share.
+//!
+//! [`Settings`] is read once from a JSON file when a process starts. [`Document`] is the
+//! numbered configuration that operators change while the system runs: customers, their
+//! keys and limits, models, upstreams and plain services. A [`Patch`] applies to one
+//! number of the document and gives the next, or is rejected whole with the path of each
+//! [`Fault`]. A [`Snapshot`] is an immutable, indexed view for the request path.
+
+mod check;
+mod document;
+mod fault;
+mod patch;
+mod reader;
+mod secret;
+mod settings;
+mod snapshot;
+
+pub use check::{MAX_DOCUMENT_BYTES, check, check_change};
+pub use document::{
+    Class, Customer, Document, Key, Limit, Model, PatchMark, Service, Target, Upstream,
+    UpstreamKind, UpstreamState,
+};
+pub use fault::{Fault, Faults};
+pub use patch::{Patch, PatchError};
+pub use secret::{Digest, Secret};
+pub use settings::{
+    Bounds, CutOff, Listener, LogFormat, LogSettings, PeerSettings, PlatformSettings, Policy,
+    Settings, Tls,
+};
+pub use snapshot::{Caller, Snapshot};
--- /dev/null
+++ b/crates/rosemarypitch-config/src/patch.rs
@@ -0,0 +1,100 @@
+//! Patches against one number of the document.
+
+use std::sync::Arc;
+
+use serde_json::Value;
+
+use crate::check;
+use crate::document::{Document, PatchMark};
+use crate::fault::{Fault, Faults};
+
+/// Patch marks that a document keeps.
+const MARKS_KEPT: usize = 64;
+
+/// A change to the document, not yet applied.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Patch {
+    /// JSON merge patch, RFC 7386.
+    Merge(Value),
+    /// JSON patch, RFC 6902.
+    Json(json_patch::Patch),
+}
+
+/// Why a patch was rejected; nothing of it was applied.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum PatchError {
+    /// It was made against an older number.
+    #[error("patch is against number {base}, the document is at {current}")]
+    Stale {
+        /// Number the patch was made against.
+        base: u64,
+        /// Number in force.
+        current: u64,
+    },
+    /// The result breaks rules.
+    #[error("{0}")]
+    Invalid(Faults),
+}
+
+impl Patch {
+    /// Reads a patch by its media type; other types give nothing.
+    pub fn parse(media: &str, body: &[u8]) -> Option<Result<Self, Faults>> {
+        let kind = media.split(';').next().unwrap_or_default().trim();
+        match kind {
+            "application/merge-patch+json" | "application/json" => {
+                Some(read(body).map(Self::Merge))
+            }
+            "application/json-patch+json" => Some(read(body).map(Self::Json)),
+            _ => None,
+        }
+    }
+
+    /// Applies the patch to `doc`, which must be at number `base`.
+    pub fn apply(&self, doc: &Document, base: u64, id: &str) -> Result<Document, PatchError> {
+        if doc.number != base {
+            return Err(PatchError::Stale { base, current: doc.number });
+        }
+        let mut value = serde_json::to_value(doc).map_err(invalid)?;
+        match self {
+            Self::Merge(patch) => json_patch::merge(&mut value, patch),
+            Self::Json(patch) => json_patch::patch(&mut value, patch).map_err(invalid)?,
+        }
+        let mut new = decode(value)?;
+        new.number = base + 1;
+        new.patches = doc.patches.clone();
+        new.patches.push(PatchMark { id: Arc::from(id), number: new.number });
+        let excess = new.patches.len().saturating_sub(MARKS_KEPT);
+        new.patches.drain(..excess);
+        verify(doc, &new).map_err(PatchError::Invalid)?;
+        Ok(new)
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Faults> {
+    serde_json::from_slice(body).map_err(|error| Faults(vec![Fault::new("", error.to_string())]))
+}
+
+fn decode(value: Value) -> Result<Document, PatchError> {
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let path = error.path().to_string();
+        PatchError::Invalid(Faults(vec![Fault::new(path, error.into_inner().to_string())]))
+    })
+}
+
+fn verify(old: &Document, new: &Document) -> Result<(), Faults> {
+    let mut faults = Faults::default();
+    for result in [check::check(new), check::check_change(old, new)] {
+        if let Err(found) = result {
+            faults.0.extend(found.0);
+        }
+    }
+    let size = serde_json::to_vec(new).map_or(usize::MAX, |bytes| bytes.len());
+    if size > check::MAX_DOCUMENT_BYTES {
+        faults.add("", format!("document of {size} bytes is above {}", check::MAX_DOCUMENT_BYTES));
+    }
+    faults.or(())
+}
+
+fn invalid(error: impl ToString) -> PatchError {
+    PatchError::Invalid(Faults(vec![Fault::new("", error.to_string())]))
+}
--- /dev/null
+++ b/crates/rosemarypitch-gateway/src/lib.rs
@@ -0,0 +1,51 @@
+//! One entry host: from a caller's request to its answer.
+//!
+//! [`serve`] runs a whole process. Inside it a [`Host`] holds the parts that decide: the
+//! [`Keeper`] of the configuration, [`Membership`], [`Limits`], [`Pools`] and [`Claims`],
+//! each an actor on the control thread. Requests run on the traffic threads, read
+//! immutable snapshots, and ask the actors only for what must be decided: a debit, a
+//! place, a claim. [`Completion`] is the life of one model request, [`ServiceCall`] that
+//! of one call to a plain service.
+
+mod admin;
+mod admin_types;
+mod adopt;
+mod bounded;
+mod callers;
+mod claims;
+mod completion;
+mod handler;
+mod holding;
+mod host;
+mod keeper;
+mod leak;
+mod limits;
+mod membership;
+mod metrics;
+mod openai;
+mod polls;
+mod pools;
+mod problem;
+mod reaper;
+mod running;
+mod server;
+mod service_call;
+mod shares;
+mod tls;
+mod view;
+
+pub use admin::openapi;
+pub use claims::Claims;
+pub use completion::{Completion, CompletionAsk, Output, Usage};
+pub use handler::HostHandler;
+pub use host::{Host, Parts};
+pub use keeper::{Keeper, PatchOutcome};
+pub use limits::{DebitTicket, Limits};
+pub use membership::Membership;
+pub use metrics::Metrics;
+pub use pools::{PoolTuning, Pools};
+pub use problem::{Problem, ProblemKind};
+pub use running::Running;
+pub use server::{ServeError, Served, serve, start};
+pub use service_call::ServiceCall;
+pub use view::View;
--- /dev/null
+++ b/crates/rosemarypitch-limit/src/lib.rs
@@ -0,0 +1,25 @@
+//! Rate and burst of a customer over all hosts together.
+//!
+//! A limit is cut into a fixed number of shares, each owned by one run of one host for a
+//! [`Tenure`]. A [`Lender`] lends the shares that its host owns, for a short time, to the
+//! one [`Holder`] of a customer in a region, where requests are debited. All are pure
+//! state machines on the instants given to them. What holds at every instant:
+//!
+//! - a share's rate accrues in one place at most;
+//! - the tokens that exist, refunds to come included, never exceed the burst.
+//!
+//! Hence the tokens admitted in any window stay within rate x window + burst.
+
+mod bucket;
+mod holder;
+mod host_id;
+mod lender;
+mod nano;
+mod tenure;
+
+pub use bucket::Bucket;
+pub use holder::{Debit, Holder, Outcome};
+pub use host_id::{HostId, rank, rendezvous};
+pub use lender::{Ask, LOAN_TIME, Lender, Loan, Terms};
+pub use nano::{NANO, Nano};
+pub use tenure::{ShareOwner, ShareRecord, Tenure, TenureStep};
--- /dev/null
+++ b/crates/rosemarypitch-once/src/record.rs
@@ -0,0 +1,60 @@
+//! The platform's values for one shard.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::claim::{Answer, ClaimKey, Claimant};
+
+/// The head value: claims of the present window.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// Number of the window.
+    pub window: u64,
+    /// Changes in the order in which they took effect.
+    pub items: Vec<Item>,
+    /// The window before, whole, until it is archived.
+    pub closing: Vec<Item>,
+}
+
+/// An archived window; it never changes once written.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Archive {
+    /// Number of the window.
+    pub window: u64,
+    /// Its changes.
+    pub items: Vec<Item>,
+}
+
+/// The state of a claim after one change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// The key.
+    pub key: ClaimKey,
+    /// Its state.
+    pub state: State,
+}
+
+/// State of a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// An attempt may be running the call.
+    Held {
+        /// The attempt.
+        by: Claimant,
+        /// Digest of the request.
+        print: Arc<str>,
+    },
+    /// The call has run.
+    Done {
+        /// The attempt that ran it.
+        by: Claimant,
+        /// Digest of the request.
+        print: Arc<str>,
+        /// Its answer.
+        answer: Answer,
+    },
+    /// The call has not run; the key is free.
+    Free,
+}
--- /dev/null
+++ b/crates/rosemarypitch-peer/src/frame.rs
@@ -0,0 +1,35 @@
+//! Encoding of messages.
+
+use bincode::config;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Version of the protocol; the first byte of each message.
+pub const PROTOCOL: u8 = 1;
+/// Longest message, in bytes; a configuration document fits.
+pub const MAX_FRAME_BYTES: usize = 2 << 20;
+
+/// Encodes a message.
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, String> {
+    let mut bytes = vec![PROTOCOL];
+    bincode::serde::encode_into_std_write(message, &mut bytes, config::standard())
+        .map_err(|error| error.to_string())?;
+    Ok(bytes)
+}
+
+/// Decodes a message; bytes left over are a fault.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    let Some((version, body)) = bytes.split_first() else {
+        return Err("empty message".to_owned());
+    };
+    if *version != PROTOCOL {
+        return Err(format!("version {version}, not {PROTOCOL}"));
+    }
+    let limits = config::standard().with_limit::<MAX_FRAME_BYTES>();
+    let (message, used) =
+        bincode::serde::decode_from_slice(body, limits).map_err(|error| error.to_string())?;
+    if used < body.len() {
+        return Err(format!("{} bytes left over", body.len() - used));
+    }
+    Ok(message)
+}
--- /dev/null
+++ b/crates/rosemarypitch-peer/src/lib.rs
@@ -0,0 +1,26 @@
+//! How hosts talk to each other: h2 streams that carry bincode messages.
+//!
+//! [`PeerServer`] takes connections, proves both ends by the fleet's secret, and gives
+//! each [`Ask`] to a [`Handler`]. [`Peers`] keeps one connection a peer and replaces one
+//! that has gone silent. [`Members`] is the pure state of who is there: it decides whom to
+//! send heartbeats, and when a run of a host counts as gone.
+
+mod client;
+mod counted;
+mod error;
+mod frame;
+mod handshake;
+mod member;
+mod message;
+mod server;
+
+pub use client::{Link, LinkCall, Peers};
+pub use counted::Traffic;
+pub use error::{ErrorKind, PeerError};
+pub use frame::{MAX_FRAME_BYTES, PROTOCOL, decode, encode};
+pub use member::{Change, Member, Members, MembersRules};
+pub use message::{
+    Ask, Beat, BorrowAsk, DebitAsk, DebitReply, Giveback, Note, PlaceAsk, PlaceReply, PoolKey,
+    Reply, Sighting,
+};
+pub use server::{Handler, HandlerCall, PeerServer};
--- /dev/null
+++ b/crates/rosemarypitch-peer/src/member.rs
@@ -0,0 +1,241 @@
+//! Who is there.
+//!
+//! All hosts of a data centre exchange heartbeats; to each other data centre a host beats
+//! to a few, and these tell what they heard inside their own. An exchange tells both ends
+//! of each other, so a peer that was just heard from gets no heartbeat.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemarypitch_limit::{HostId, rank};
+use tokio::time::Instant;
+
+use crate::message::{Beat, Sighting};
+
+/// Peers of each other data centre that a host beats to.
+const FAR_PEERS: usize = 2;
+
+/// Times that membership goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct MembersRules {
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Silence after which a host run counts as gone.
+    pub silence: Duration,
+}
+
+/// A host run that was heard of.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// What it said last.
+    pub sighting: Sighting,
+    /// When it was last heard from, by whomever.
+    pub heard: Instant,
+    /// When this host itself last heard from it.
+    pub direct: Option<Instant>,
+}
+
+/// A change of membership.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A host run came.
+    Came(HostId),
+    /// A host run is over, or silent for too long.
+    Gone(HostId),
+}
+
+/// Who is there, as one host sees it.
+#[derive(Debug)]
+pub struct Members {
+    own: Sighting,
+    rules: MembersRules,
+    members: BTreeMap<Arc<str>, Member>,
+    listed: HashSet<SocketAddr>,
+    tried: HashMap<SocketAddr, Instant>,
+}
+
+impl Members {
+    /// A host that knows nobody yet.
+    pub fn new(own: Sighting, rules: MembersRules) -> Self {
+        Self { own, rules, members: BTreeMap::new(), listed: HashSet::new(), tried: HashMap::new() }
+    }
+
+    /// What this host says of itself.
+    pub fn own(&self) -> &Sighting {
+        &self.own
+    }
+
+    /// Sets the configuration number that this host has in force, and the time in
+    /// milliseconds since it was compared with the platform's.
+    pub fn set_number(&mut self, number: u64, config_age_ms: u32) {
+        self.own.number = number;
+        self.own.config_age_ms = config_age_ms;
+    }
+
+    /// Sets how many limit shares this host owns.
+    pub fn set_shares(&mut self, shares: u32) {
+        self.own.shares = shares;
+    }
+
+    /// Says from now on that this host is leaving.
+    pub fn leave(&mut self) {
+        self.own.leaving = true;
+    }
+
+    /// Takes in addresses from the platform's list or the settings.
+    pub fn list(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let own = self.own.address;
+        self.listed = addresses.into_iter().filter(|address| *address != own).collect();
+    }
+
+    /// Takes in a heartbeat that came directly.
+    pub fn hear(&mut self, now: Instant, beat: &Beat) -> Vec<Change> {
+        let mut changes = self.note(now, &beat.sighting, true);
+        for sighting in &beat.heard {
+            changes.extend(self.note(now, sighting, false));
+        }
+        changes
+    }
+
+    /// Drops members that have been silent for too long.
+    pub fn tick(&mut self, now: Instant) -> Vec<Change> {
+        let silence = self.rules.silence;
+        let silent = |member: &Member| now.saturating_duration_since(member.heard) > silence;
+        let gone: Vec<Arc<str>> = self
+            .members
+            .iter()
+            .filter(|(_, member)| silent(member))
+            .map(|(name, _)| name.clone())
+            .collect();
+        let removed = gone.into_iter().filter_map(|name| self.members.remove(&name));
+        removed.map(|member| Change::Gone(member.sighting.id)).collect()
+    }
+
+    /// Peers that are due a heartbeat now.
+    pub fn due(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let half = self.rules.heartbeat / 2;
+        let recent = |at: Option<Instant>| at.is_some_and(|at| now - at < half);
+        let mut due: Vec<SocketAddr> = self
+            .partners()
+            .filter(|member| !recent(member.direct))
+            .map(|member| member.sighting.address)
+            .collect();
+        let known: HashSet<SocketAddr> =
+            self.members.values().map(|member| member.sighting.address).collect();
+        let silence = self.rules.silence;
+        let rested =
+            |address: &SocketAddr| self.tried.get(address).is_none_or(|at| now - *at > silence);
+        let unknown: Vec<SocketAddr> = self
+            .listed
+            .iter()
+            .filter(|address| !known.contains(*address) && rested(address))
+            .copied()
+            .collect();
+        self.tried.retain(|address, _| self.listed.contains(address));
+        self.tried.extend(unknown.iter().map(|address| (*address, now)));
+        due.extend(unknown);
+        due
+    }
+
+    /// The heartbeat for a peer.
+    pub fn beat(&self, now: Instant, peer: SocketAddr) -> Beat {
+        let member = self.members.values().find(|member| member.sighting.address == peer);
+        let near = member.is_some_and(|m| m.sighting.data_centre == self.own.data_centre);
+        let heard = if near { Vec::new() } else { self.near_sightings(now) };
+        Beat { sighting: self.own.clone(), heard }
+    }
+
+    /// Host runs that are there and not leaving, this one included.
+    pub fn live(&self) -> Vec<&Sighting> {
+        let members = self.members.values().map(|member| &member.sighting);
+        members.chain([&self.own]).filter(|sighting| !sighting.leaving).collect()
+    }
+
+    /// Live host runs of this host's region.
+    pub fn live_near(&self) -> Vec<&Sighting> {
+        let mut live = self.live();
+        live.retain(|sighting| sighting.region == self.own.region);
+        live
+    }
+
+    /// All members but this host.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// The address of a host run that is there.
+    pub fn address(&self, id: &HostId) -> Option<SocketAddr> {
+        let member = self.members.get(&id.host)?;
+        (member.sighting.id == *id).then_some(member.sighting.address)
+    }
+
+    fn note(&mut self, now: Instant, sighting: &Sighting, direct: bool) -> Vec<Change> {
+        let id = &sighting.id;
+        if id.host == self.own.id.host {
+            return Vec::new();
+        }
+        let age = Duration::from_millis(u64::from(sighting.age_ms));
+        let heard = now.checked_sub(age).unwrap_or(now);
+        if age > self.rules.silence {
+            return Vec::new();
+        }
+        let Some(member) = self.members.get_mut(&id.host) else {
+            let member =
+                Member { sighting: sighting.clone(), heard, direct: direct.then_some(now) };
+            self.members.insert(id.host.clone(), member);
+            return vec![Change::Came(id.clone())];
+        };
+        let known = member.sighting.id.clone();
+        if id.incarnation < known.incarnation {
+            return Vec::new();
+        }
+        let replaced = id.incarnation > known.incarnation;
+        if replaced || heard >= member.heard {
+            let number = member.sighting.number;
+            member.sighting = sighting.clone();
+            if !replaced {
+                member.sighting.number = number.max(sighting.number);
+            }
+            member.heard = heard;
+        }
+        if direct {
+            member.direct = Some(now);
+        }
+        if replaced { vec![Change::Gone(known), Change::Came(id.clone())] } else { Vec::new() }
+    }
+
+    /// Members of this data centre that were heard directly.
+    fn near_sightings(&self, now: Instant) -> Vec<Sighting> {
+        let near = self.members.values().filter(|member| {
+            member.direct.is_some() && member.sighting.data_centre == self.own.data_centre
+        });
+        near.map(|member| {
+            let age = now.saturating_duration_since(member.heard).as_millis();
+            let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+            Sighting { age_ms, ..member.sighting.clone() }
+        })
+        .collect()
+    }
+
+    /// Members that this host beats to.
+    fn partners(&self) -> impl Iterator<Item = &Member> {
+        let mut far: BTreeMap<&Arc<str>, Vec<&Member>> = BTreeMap::new();
+        let mut near = Vec::new();
+        for member in self.members.values() {
+            let data_centre = &member.sighting.data_centre;
+            if *data_centre == self.own.data_centre {
+                near.push(member);
+            } else {
+                far.entry(data_centre).or_default().push(member);
+            }
+        }
+        for members in far.values_mut() {
+            members
+                .sort_by_key(|m| std::cmp::Reverse(rank(&self.own.id.host, &m.sighting.id.host)));
+            members.truncate(FAR_PEERS);
+        }
+        near.into_iter().chain(far.into_values().flatten())
+    }
+}
--- /dev/null
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -0,0 +1,205 @@
+//! Messages between hosts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rosemarypitch_limit::{HostId, Loan};
+use rosemarypitch_once::{ClaimAsk, ClaimReply};
+use rosemarypitch_route::AttemptId;
+use serde::{Deserialize, Serialize};
+
+/// A message that asks for a reply.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Ask {
+    /// A heartbeat; the reply is the peer's own.
+    Beat(Beat),
+    /// Asks for the configuration document if its number is above this one.
+    Document(u64),
+    /// Asks for a prefill and a decode engine; answered when there is room.
+    Place(PlaceAsk),
+    /// Asks for another decode engine after a failed transfer.
+    Replace(PoolKey, AttemptId),
+    /// Tells a pool's owner what became of attempts.
+    Notes(PoolKey, Vec<Note>),
+    /// Asks to borrow or renew customers' shares.
+    Borrow(BorrowAsk),
+    /// Gives back loans.
+    GiveBack(Vec<Giveback>),
+    /// Debits a customer's limit.
+    Debit(DebitAsk),
+    /// Gives back the unused part of a debit: customer, debit and tokens.
+    Refund(Arc<str>, u64, u64),
+    /// Changes a claim in the shard that its writer keeps.
+    Claim(ClaimAsk),
+    /// Asks which of the receiver's attempts it no longer runs.
+    Verify(Vec<AttemptId>),
+}
+
+/// A reply.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Reply {
+    /// The peer's heartbeat.
+    Beat(Beat),
+    /// The document as JSON, if newer.
+    Document(Option<Vec<u8>>),
+    /// The outcome of asking for a place.
+    Place(PlaceReply),
+    /// Loans, in the order of the customers asked for.
+    Loans(Vec<Option<Loan>>),
+    /// The outcome of a debit.
+    Debit(DebitReply),
+    /// The outcome of a claim.
+    Claim(ClaimReply),
+    /// Attempts that the peer no longer runs.
+    Denied(Vec<AttemptId>),
+    /// Taken note.
+    Done,
+    /// The receiver does not own what was asked about.
+    NotOwner,
+}
+
+/// A heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender.
+    pub sighting: Sighting,
+    /// Hosts of the sender's data centre, when it beats to another.
+    pub heard: Vec<Sighting>,
+}
+
+/// What is known of a host, and how long ago.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// The host run.
+    pub id: HostId,
+    /// Where peers reach it.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Its region.
+    pub region: Arc<str>,
+    /// Number of the configuration that it has in force.
+    pub number: u64,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// Limit shares that it owns.
+    pub shares: u32,
+    /// Age, in milliseconds.
+    pub age_ms: u32,
+    /// Time since its configuration was compared with the platform's, in milliseconds.
+    pub config_age_ms: u32,
+}
+
+/// Names a pool: the engines of a model in a region, or a part of them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PoolKey {
+    /// The region.
+    pub region: Arc<str>,
+    /// The model.
+    pub model: Arc<str>,
+    /// The part, from 0.
+    pub part: u32,
+}
+
+impl PoolKey {
+    /// The text by which the owner is chosen.
+    pub fn text(&self) -> String {
+        format!("pool/{}/{}/{}", self.region, self.model, self.part)
+    }
+}
+
+/// Asks for a place in a pool; times count from when the owner reads it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlaceAsk {
+    /// The pool.
+    pub pool: PoolKey,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The customer.
+    pub customer: Arc<str>,
+    /// Priority; greater goes first.
+    pub priority: u8,
+    /// The customer's part of the pool.
+    pub weight: f64,
+    /// Prompt length, in tokens.
+    pub prompt: u32,
+    /// Output bound, in tokens.
+    pub output: u32,
+    /// The prompt's whole pieces.
+    pub pieces: Vec<u64>,
+    /// Data centre of the asking host.
+    pub data_centre: Arc<str>,
+    /// Time until the first token is due, in milliseconds.
+    pub due_ms: u64,
+    /// Longest wait, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// The outcome of asking for a place.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlaceReply {
+    /// Engines were reserved.
+    Placed {
+        /// Prefill engine.
+        prefill: Arc<str>,
+        /// Decode engine.
+        decode: Arc<str>,
+    },
+    /// No engine came free in time.
+    Full,
+    /// No engine serves the model here.
+    NoEngine,
+}
+
+/// What became of an attempt, or of an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Note {
+    /// Its prefill ended: tokens computed, and microseconds.
+    Prefilled(AttemptId, u32, u64),
+    /// It ended.
+    Finished(AttemptId),
+    /// It runs on this decode engine since before the receiver owned the pool.
+    Adopt(AttemptId, Arc<str>),
+    /// A call to this engine failed.
+    Failed(Arc<str>),
+}
+
+/// Asks to borrow customers' shares.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BorrowAsk {
+    /// Number of the request, growing within one run of the sender.
+    pub number: u64,
+    /// The customers.
+    pub customers: Vec<Arc<str>>,
+}
+
+/// Gives back a loan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Giveback {
+    /// The customer.
+    pub customer: Arc<str>,
+    /// Number of the sender's last request for it.
+    pub number: u64,
+    /// Tokens left, in billionths.
+    pub tokens: u128,
+}
+
+/// Debits a customer's limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DebitAsk {
+    /// The customer.
+    pub customer: Arc<str>,
+    /// Tokens.
+    pub amount: u64,
+    /// Longest wait, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// The outcome of a debit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DebitReply {
+    /// The tokens were taken under this number.
+    Granted(u64),
+    /// They were not; they may be had after so many milliseconds.
+    Refused(u64),
+}
--- /dev/null
+++ b/crates/rosemarypitch-peer/src/server.rs
@@ -0,0 +1,114 @@
+//! Takes connections from peers.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use h2::server::SendResponse;
+use h2::{RecvStream, server};
+use http::{Response, StatusCode};
+use rosemarypitch_limit::HostId;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::counted::{Counted, Traffic};
+use crate::frame::{self, MAX_FRAME_BYTES};
+use crate::handshake::{self, End, Secret};
+use crate::message::{Ask, Reply};
+
+/// Messages of one peer that are answered at once.
+const MAX_STREAMS: u32 = 4_096;
+
+/// An answer under way.
+pub type HandlerCall<'a> = Pin<Box<dyn Future<Output = Reply> + Send + 'a>>;
+
+/// Answers peers' messages.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one message.
+    fn handle<'a>(&'a self, from: &'a HostId, ask: Ask) -> HandlerCall<'a>;
+}
+
+/// Takes connections from peers.
+pub struct PeerServer {
+    /// This host run.
+    pub id: HostId,
+    /// The fleet's secret.
+    pub secret: Secret,
+    /// Byte counts.
+    pub traffic: Arc<Traffic>,
+    /// Answers messages.
+    pub handler: Arc<dyn Handler>,
+}
+
+impl PeerServer {
+    /// Serves peers until the task ends.
+    pub async fn run(self: Arc<Self>, listener: TcpListener) -> io::Result<()> {
+        loop {
+            let (stream, address) = listener.accept().await?;
+            let server = self.clone();
+            tokio::spawn(async move {
+                if let Err(error) = server.serve(stream).await {
+                    log::debug!("peer: connection from {address} ended: {error}");
+                }
+            });
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut stream = Counted::new(stream, self.traffic.clone());
+        let secret = self.secret.as_bytes();
+        let from = handshake::prove(&mut stream, End::Server, &self.id, secret).await?;
+        let mut builder = server::Builder::new();
+        builder.max_concurrent_streams(MAX_STREAMS);
+        let mut connection =
+            builder.handshake::<_, Bytes>(stream).await.map_err(io::Error::other)?;
+        while let Some(accepted) = connection.accept().await {
+            let (request, respond) = accepted.map_err(io::Error::other)?;
+            let (handler, from) = (self.handler.clone(), from.clone());
+            self.traffic.messages.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                if let Err(error) = answer(handler, &from, request.into_body(), respond).await {
+                    log::debug!("peer: message from {from} failed: {error}");
+                }
+            });
+        }
+        Ok(())
+    }
+}
+
+async fn answer(
+    handler: Arc<dyn Handler>,
+    from: &HostId,
+    body: RecvStream,
+    mut respond: SendResponse<Bytes>,
+) -> Result<(), String> {
+    let bytes = read_body(body).await?;
+    let ask = frame::decode(&bytes)?;
+    let reply = tokio::select! {
+        reply = handler.handle(from, ask) => reply,
+        // The peer gave up: dropping the call releases what it waits for.
+        _ = std::future::poll_fn(|context| respond.poll_reset(context)) => return Ok(()),
+    };
+    let bytes = frame::encode(&reply)?;
+    let mut response = Response::new(());
+    *response.status_mut() = StatusCode::OK;
+    let mut stream = respond.send_response(response, false).map_err(|e| e.to_string())?;
+    stream.send_data(Bytes::from(bytes), true).map_err(|error| error.to_string())
+}
+
+/// Reads a whole message body.
+pub async fn read_body(mut body: RecvStream) -> Result<Vec<u8>, String> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.map_err(|error| error.to_string())?;
+        bytes.extend_from_slice(&chunk);
+        let _ = body.flow_control().release_capacity(chunk.len());
+        if bytes.len() > MAX_FRAME_BYTES {
+            return Err("message too long".to_owned());
+        }
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/rosemarypitch-route/src/attempt.rs
@@ -0,0 +1,89 @@
+//! Identifiers of attempts.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+/// One try at a request, unique over all hosts and their restarts.
+///
+/// Its text form is `HOST/INCARNATION/REQUEST/ATTEMPT`, numbers in hexadecimal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId {
+    /// Host that answers the caller.
+    pub host: Arc<str>,
+    /// Which run of that host.
+    pub incarnation: u64,
+    /// Request, counted by the host.
+    pub request: u64,
+    /// Attempt, counted within the request.
+    pub attempt: u32,
+}
+
+/// A text that is no attempt identifier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadAttemptId;
+
+impl AttemptId {
+    /// The next attempt at the same request.
+    pub fn next(&self) -> Self {
+        Self { attempt: self.attempt + 1, ..self.clone() }
+    }
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { host, incarnation, request, attempt } = self;
+        write!(f, "{host}/{incarnation:x}/{request:x}/{attempt:x}")
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = BadAttemptId;
+
+    fn from_str(text: &str) -> Result<Self, BadAttemptId> {
+        let mut parts = text.split('/');
+        let mut part = || parts.next().filter(|part| !part.is_empty()).ok_or(BadAttemptId);
+        let host = Arc::from(part()?);
+        let incarnation = u64::from_str_radix(part()?, 16).map_err(|_| BadAttemptId)?;
+        let request = u64::from_str_radix(part()?, 16).map_err(|_| BadAttemptId)?;
+        let attempt = u32::from_str_radix(part()?, 16).map_err(|_| BadAttemptId)?;
+        match parts.next() {
+            None => Ok(Self { host, incarnation, request, attempt }),
+            Some(_) => Err(BadAttemptId),
+        }
+    }
+}
+
+impl fmt::Display for BadAttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("not an attempt identifier")
+    }
+}
+
+impl Serialize for AttemptId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for AttemptId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_str(AttemptVisitor)
+    }
+}
+
+struct AttemptVisitor;
+
+impl de::Visitor<'_> for AttemptVisitor {
+    type Value = AttemptId;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an attempt identifier")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<AttemptId, E> {
+        text.parse().map_err(|error: BadAttemptId| E::custom(error))
+    }
+}
--- /dev/null
+++ b/crates/rosemarypitch-route/src/lib.rs
@@ -0,0 +1,23 @@
+//! Where prefill and decode run: queueing, fairness and placement.
+//!
+//! [`Pool`] is a pure state machine for the engines of one model in one data centre. It
+//! takes an [`Event`] and the current instant and gives [`Action`]s; it does no I/O and
+//! reads no clock. Around it stand the parts it is made of: the fair [`Queue`], what is
+//! known of each engine, and the [`PrefixIndex`]. [`Progress`] follows one request and
+//! tells what a refusal may say about it.
+
+mod attempt;
+mod choice;
+mod engine;
+mod pool;
+mod prefix;
+mod progress;
+mod queue;
+
+pub use attempt::{AttemptId, BadAttemptId};
+pub use choice::Choice;
+pub use engine::{EngineInfo, EngineLoad, EngineRole, EngineView};
+pub use pool::{Action, Event, Job, Placement, Pool, PoolRules, Refusal};
+pub use prefix::{PIECE_BYTES, PIECE_TOKENS, Piece, PrefixIndex, pieces};
+pub use progress::{Progress, Ran};
+pub use queue::{Flow, Queue};
--- /dev/null
+++ b/crates/rosemarypitch-standin/src/engine_http.rs
@@ -0,0 +1,150 @@
+//! The stand-in engine's HTTP protocol.
+
+use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame as BodyFrame, Incoming};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use rosemarypitch_upstream::wire::{CancelAsk, DecodeAsk, Export, Order, PrefillAsk};
+use rosemarypitch_upstream::{DecodeStream, ErrorKind};
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use crate::engine::Engine;
+use crate::http::{self as server, Dropped, Reply};
+
+/// Frames that may wait for a slow reader.
+const STREAM_BUFFER: usize = 1_024;
+
+/// Serves an engine until the task ends.
+pub async fn serve_engine(listener: TcpListener, engine: Arc<Engine>) -> io::Result<()> {
+    server::serve(listener, engine, handle).await
+}
+
+async fn handle(engine: Arc<Engine>, request: Request<Incoming>) -> Result<Reply, Dropped> {
+    if engine.is_stopped() {
+        return Err(Dropped);
+    }
+    let (head, body) = request.into_parts();
+    match (head.method, head.uri.path()) {
+        (Method::POST, "/prefill") => {
+            let ask: PrefillAsk = server::read(body).await?;
+            // A task of its own: the engine goes on when the caller is gone.
+            let run = tokio::spawn(async move { engine.prefill(&ask).await });
+            answer(run.await.map_err(|_| Dropped)?)
+        }
+        (Method::POST, "/decode") => decode(engine, server::read(body).await?).await,
+        (Method::POST, "/export") => {
+            let ask: CancelAsk = server::read(body).await?;
+            answer(engine.export(&ask.attempt).await)
+        }
+        (Method::POST, "/cancel") => {
+            let ask: CancelAsk = server::read(body).await?;
+            engine.cancel(&ask.attempt);
+            server::json(StatusCode::OK, &())
+        }
+        (Method::POST, "/order") => {
+            let order: Order = server::read(body).await?;
+            answer(engine.order(&order))
+        }
+        (Method::POST, "/leaving") => {
+            engine.set_leaving(server::read(body).await?);
+            server::json(StatusCode::OK, &())
+        }
+        (Method::GET, "/work") => server::json(StatusCode::OK, &engine.work()),
+        (Method::GET, "/load") => server::json(StatusCode::OK, &engine.load()),
+        (Method::GET, "/events") => {
+            let query = head.uri.query().and_then(|query| query.strip_prefix("after="));
+            let after = query.and_then(|number| number.parse().ok()).unwrap_or(0);
+            server::json(StatusCode::OK, &engine.events(after))
+        }
+        _ => server::json(StatusCode::NOT_FOUND, &"no such route"),
+    }
+}
+
+fn answer(result: Result<impl Serialize, ErrorKind>) -> Result<Reply, Dropped> {
+    match result {
+        Ok(value) => server::json(StatusCode::OK, &value),
+        Err(kind) => refuse(kind),
+    }
+}
+
+fn refuse(kind: ErrorKind) -> Result<Reply, Dropped> {
+    match kind {
+        ErrorKind::Busy => server::json(StatusCode::SERVICE_UNAVAILABLE, &"busy"),
+        ErrorKind::NotHeld => server::json(StatusCode::NOT_FOUND, &"not held"),
+        ErrorKind::Fenced(fence) => server::json(StatusCode::CONFLICT, &fence),
+        _ => Err(Dropped),
+    }
+}
+
+async fn decode(engine: Arc<Engine>, ask: DecodeAsk) -> Result<Reply, Dropped> {
+    let mut stop = match engine.admit(&ask.attempt) {
+        Ok(stop) => stop,
+        Err(kind) => return refuse(kind),
+    };
+    let run = engine.clone();
+    let import = ask.clone();
+    let imported = tokio::spawn(async move {
+        let result = tokio::select! {
+            result = import_from(&import) => result,
+            _ = stop.changed() => Err(ErrorKind::NotHeld),
+        };
+        if result.is_err() {
+            run.abandon(&import.attempt);
+        }
+        result.map(|export| (export, stop))
+    });
+    let (export, stop) = match imported.await.map_err(|_| Dropped)? {
+        Ok(imported) => imported,
+        Err(kind) => return refuse(kind),
+    };
+    let (tokens, stream) = mpsc::channel(STREAM_BUFFER);
+    tokio::spawn(engine.stream(ask, export, stop, tokens));
+    let body = Lines(stream);
+    Ok(Response::new(body.boxed()))
+}
+
+async fn import_from(ask: &DecodeAsk) -> Result<Export, ErrorKind> {
+    let client: Client<HttpConnector, Full<Bytes>> =
+        Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
+    let cancel = CancelAsk { attempt: ask.attempt.clone() };
+    let body = serde_json::to_vec(&cancel).map_err(|_| ErrorKind::Lost)?;
+    let request = Request::post(format!("http://{}/export", ask.source))
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|_| ErrorKind::Lost)?;
+    let response = client.request(request).await.map_err(|_| ErrorKind::Connect)?;
+    if response.status() != StatusCode::OK {
+        return Err(ErrorKind::NotHeld);
+    }
+    let body = response.into_body().collect().await.map_err(|_| ErrorKind::Lost)?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|_| ErrorKind::Lost)
+}
+
+/// A stream's frames as lines of JSON.
+struct Lines(DecodeStream);
+
+impl Body for Lines {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<BodyFrame<Bytes>, Infallible>>> {
+        self.0.poll_recv(context).map(|item| {
+            let mut line = serde_json::to_vec(&item?.ok()?).ok()?;
+            line.push(b'\n');
+            Some(Ok(BodyFrame::data(Bytes::from(line))))
+        })
+    }
+}
--- /dev/null
+++ b/crates/rosemarypitch-standin/src/lib.rs
@@ -0,0 +1,23 @@
+//! Small fakes of the systems around the router.
+//!
+//! [`Engine`] is a model engine, [`Desk`] a plain service, [`MemoryStore`] the platform's
+//! key-value service. Each can be used inside a process or served over HTTP by
+//! [`serve_engine`], [`serve_desk`] and [`serve_store`]. They serve tests, the demo and
+//! experiments; they are no simulators.
+
+mod desk;
+mod engine;
+mod engine_http;
+mod http;
+mod local;
+mod shape;
+mod store;
+mod store_http;
+
+pub use desk::{Desk, DeskCall, serve_desk};
+pub use engine::{Engine, token_count, token_text};
+pub use engine_http::serve_engine;
+pub use local::LocalEngines;
+pub use shape::EngineShape;
+pub use store::{MemoryStore, Port, PortFaults};
+pub use store_http::serve_store;
--- /dev/null
+++ b/crates/rosemarypitch-standin/src/local.rs
@@ -0,0 +1,130 @@
+//! Stand-in engines called inside the process, for experiments on a paused clock.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemarypitch_route::AttemptId;
+use rosemarypitch_upstream::wire::{
+    CacheEvents, DecodeAsk, LoadReport, Order, OrderDone, PrefillAsk, PrefillDone, WorkItem,
+};
+use rosemarypitch_upstream::{
+    Call, DecodeStream, EngineAddress, Engines, ErrorKind, UpstreamError,
+};
+use tokio::sync::mpsc;
+
+use crate::engine::Engine;
+
+/// Frames that may wait to be read.
+const STREAM_BUFFER: usize = 1_024;
+/// Time in which a call to a dead engine fails.
+const DEAD_TIME: Duration = Duration::from_millis(5);
+
+/// Engines by address.
+#[derive(Clone, Default)]
+pub struct LocalEngines {
+    engines: HashMap<SocketAddr, Arc<Engine>>,
+    delay: Duration,
+}
+
+impl LocalEngines {
+    /// Engines that are `delay` away, one way.
+    pub fn new(engines: HashMap<SocketAddr, Arc<Engine>>, delay: Duration) -> Self {
+        Self { engines, delay }
+    }
+
+    async fn reach(
+        &self,
+        step: &'static str,
+        engine: &EngineAddress,
+    ) -> Result<&Arc<Engine>, UpstreamError> {
+        tokio::time::sleep(self.delay).await;
+        match self.engines.get(&engine.address) {
+            Some(found) if !found.is_stopped() => Ok(found),
+            _ => {
+                tokio::time::sleep(DEAD_TIME).await;
+                Err(UpstreamError::new(step, &engine.name, ErrorKind::Connect))
+            }
+        }
+    }
+
+    async fn import(
+        &self,
+        ask: &DecodeAsk,
+    ) -> Result<rosemarypitch_upstream::wire::Export, ErrorKind> {
+        let source = self.engines.get(&ask.source).ok_or(ErrorKind::Connect)?;
+        source.export(&ask.attempt).await
+    }
+}
+
+impl Engines for LocalEngines {
+    fn prefill<'a>(
+        &'a self,
+        engine: &'a EngineAddress,
+        ask: &'a PrefillAsk,
+    ) -> Call<'a, PrefillDone> {
+        Box::pin(async move {
+            let found = self.reach("prefill", engine).await?.clone();
+            let ask = ask.clone();
+            // A task of its own: the engine goes on when the caller is gone.
+            let run = tokio::spawn(async move { found.prefill(&ask).await });
+            let result = run.await.unwrap_or(Err(ErrorKind::Lost));
+            tokio::time::sleep(self.delay).await;
+            result.map_err(|kind| UpstreamError::new("prefill", &engine.name, kind))
+        })
+    }
+
+    fn decode<'a>(
+        &'a self,
+        engine: &'a EngineAddress,
+        ask: &'a DecodeAsk,
+    ) -> Call<'a, DecodeStream> {
+        Box::pin(async move {
+            let fail = |kind| UpstreamError::new("decode", &engine.name, kind);
+            let found = self.reach("decode", engine).await?.clone();
+            let mut stop = found.admit(&ask.attempt).map_err(fail)?;
+            let imported = tokio::select! {
+                result = self.import(ask) => result,
+                _ = stop.changed() => Err(ErrorKind::NotHeld),
+            };
+            let export = match imported {
+                Ok(export) => export,
+                Err(kind) => {
+                    found.abandon(&ask.attempt);
+                    return Err(fail(kind));
+                }
+            };
+            let (tokens, stream) = mpsc::channel(STREAM_BUFFER);
+            tokio::spawn(found.stream(ask.clone(), export, stop, tokens));
+            tokio::time::sleep(self.delay).await;
+            Ok(stream)
+        })
+    }
+
+    fn cancel<'a>(&'a self, engine: &'a EngineAddress, attempt: &'a AttemptId) -> Call<'a, ()> {
+        Box::pin(async move {
+            self.reach("cancel", engine).await?.cancel(attempt);
+            Ok(())
+        })
+    }
+
+    fn work<'a>(&'a self, engine: &'a EngineAddress) -> Call<'a, Vec<WorkItem>> {
+        Box::pin(async move { Ok(self.reach("work", engine).await?.work()) })
+    }
+
+    fn load<'a>(&'a self, engine: &'a EngineAddress) -> Call<'a, LoadReport> {
+        Box::pin(async move { Ok(self.reach("load", engine).await?.load()) })
+    }
+
+    fn events<'a>(&'a self, engine: &'a EngineAddress, after: u64) -> Call<'a, CacheEvents> {
+        Box::pin(async move { Ok(self.reach("events", engine).await?.events(after)) })
+    }
+
+    fn order<'a>(&'a self, engine: &'a EngineAddress, order: &'a Order) -> Call<'a, OrderDone> {
+        Box::pin(async move {
+            let found = self.reach("order", engine).await?;
+            found.order(order).map_err(|kind| UpstreamError::new("order", &engine.name, kind))
+        })
+    }
+}
--- /dev/null
+++ b/crates/rosemarypitch-upstream/src/engine.rs
@@ -0,0 +1,67 @@
+//! What the system assumes of model engines.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+
+use crate::error::UpstreamError;
+use crate::frame::Frame;
+use crate::wire::{
+    CacheEvents, DecodeAsk, LoadReport, Order, OrderDone, PrefillAsk, PrefillDone, WorkItem,
+};
+use rosemarypitch_route::AttemptId;
+
+/// A call under way.
+pub type Call<'a, T> = Pin<Box<dyn Future<Output = Result<T, UpstreamError>> + Send + 'a>>;
+
+/// Sends the frames of a decode stream.
+pub type Tokens = mpsc::Sender<Result<Frame, UpstreamError>>;
+
+/// Frames of a decode stream; dropping it closes the stream.
+pub type DecodeStream = mpsc::Receiver<Result<Frame, UpstreamError>>;
+
+/// An engine as calls name it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineAddress {
+    /// Its name in the configuration.
+    pub name: Arc<str>,
+    /// IP number and port.
+    pub address: SocketAddr,
+    /// Whether it is reached by TLS.
+    pub tls: bool,
+}
+
+/// Calls to model engines.
+pub trait Engines: Send + Sync {
+    /// Runs a prefill; the engine holds the result for a short time.
+    fn prefill<'a>(
+        &'a self,
+        engine: &'a EngineAddress,
+        ask: &'a PrefillAsk,
+    ) -> Call<'a, PrefillDone>;
+
+    /// Imports a prefill's result and streams tokens; frames come once it is imported.
+    fn decode<'a>(
+        &'a self,
+        engine: &'a EngineAddress,
+        ask: &'a DecodeAsk,
+    ) -> Call<'a, DecodeStream>;
+
+    /// Ends an attempt and releases all that it holds; idempotent.
+    fn cancel<'a>(&'a self, engine: &'a EngineAddress, attempt: &'a AttemptId) -> Call<'a, ()>;
+
+    /// Lists running and held work.
+    fn work<'a>(&'a self, engine: &'a EngineAddress) -> Call<'a, Vec<WorkItem>>;
+
+    /// Reports load; it lags.
+    fn load<'a>(&'a self, engine: &'a EngineAddress) -> Call<'a, LoadReport>;
+
+    /// Cache events after number `after`; they come late and with gaps.
+    fn events<'a>(&'a self, engine: &'a EngineAddress, after: u64) -> Call<'a, CacheEvents>;
+
+    /// Gives an order under a fencing number.
+    fn order<'a>(&'a self, engine: &'a EngineAddress, order: &'a Order) -> Call<'a, OrderDone>;
+}
--- /dev/null
+++ b/crates/rosemarypitch-upstream/src/lib.rs
@@ -0,0 +1,21 @@
+//! Edges to upstreams: model engines and plain services.
+//!
+//! [`Engines`] is all that the rest of the system assumes of model engines;
+//! [`HttpEngines`] speaks their HTTP protocol, whose messages are in [`wire`].
+//! [`Services`] sends a plain service one request. Errors tell whether the upstream may
+//! have seen the request.
+
+mod client;
+mod engine;
+mod error;
+mod frame;
+mod http_engine;
+mod service;
+pub mod wire;
+
+pub use client::{Client, ClientError, Reuse};
+pub use engine::{Call, DecodeStream, EngineAddress, Engines, Tokens};
+pub use error::{ErrorKind, UpstreamError};
+pub use frame::{End, Frame};
+pub use http_engine::HttpEngines;
+pub use service::Services;
--- /dev/null
+++ b/crates/rosemarypitch-upstream/src/service.rs
@@ -0,0 +1,54 @@
+//! Plain services.
+
+use std::error::Error;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use hyper::body::{Body, Incoming};
+
+use crate::client::{Client, ClientError, Reuse};
+use crate::engine::EngineAddress;
+use crate::error::{ErrorKind, UpstreamError};
+
+/// Calls to plain services.
+#[derive(Clone)]
+pub struct Services {
+    client: Client,
+}
+
+impl Services {
+    /// Makes the edge.
+    pub fn new(client: Client) -> Self {
+        Self { client }
+    }
+
+    /// Sends a request once and waits up to `limit` for the answer's head.
+    ///
+    /// The request's target is its path and query; scheme and address come from `server`.
+    pub async fn send<B>(
+        &self,
+        server: &EngineAddress,
+        mut request: Request<B>,
+        reuse: Reuse,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, UpstreamError>
+    where
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let fail = |kind| UpstreamError::new("call", &server.name, kind);
+        let scheme = if server.tls { "https" } else { "http" };
+        let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+        let uri = format!("{scheme}://{}{target}", server.address).parse();
+        *request.uri_mut() =
+            uri.map_err(|error| fail(ErrorKind::Protocol(format!("target: {error}"))))?;
+        let answer = tokio::time::timeout(limit, self.client.send(request, reuse)).await;
+        match answer {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(ClientError::Connect)) => Err(fail(ErrorKind::Connect)),
+            Ok(Err(ClientError::Lost)) => Err(fail(ErrorKind::Lost)),
+            Err(_) => Err(fail(ErrorKind::Timeout)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rosemarypitch/src/standin.rs
@@ -0,0 +1,45 @@
+//! Runs stand-ins as processes.
+
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemarypitch_standin::{
+    Desk, Engine, EngineShape, MemoryStore, serve_desk, serve_engine, serve_store,
+};
+use tokio::net::TcpListener;
+use tokio::runtime;
+
+use crate::cli::StandinCommand;
+use crate::failure::Failure;
+
+/// Runs a stand-in until the process is ended; its address is printed first.
+pub fn run(command: StandinCommand) -> Result<(), Failure> {
+    let runtime = runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    runtime.block_on(async {
+        match command {
+            StandinCommand::Engine { listen, shape } => {
+                let shape: EngineShape = serde_json::from_str(&shape)
+                    .map_err(|error| Failure::Usage(format!("--shape: {error}")))?;
+                serve_engine(open(listen).await?, Engine::new(shape)).await?;
+            }
+            StandinCommand::Service { listen } => {
+                serve_desk(open(listen).await?, Arc::new(Desk::default())).await?;
+            }
+            StandinCommand::Platform { listen, list_lag_ms } => {
+                let store = MemoryStore::new(Duration::from_millis(list_lag_ms));
+                serve_store(open(listen).await?, store).await?;
+            }
+        }
+        Ok(())
+    })
+}
+
+async fn open(address: SocketAddr) -> Result<TcpListener, Failure> {
+    let listener = TcpListener::bind(address).await?;
+    let mut out = io::stdout().lock();
+    writeln!(out, "{}", listener.local_addr()?)?;
+    out.flush()?;
+    Ok(listener)
+}
