--- a/crates/rosemarypitch-standin/src/local.rs
+++ b/crates/rosemarypitch-standin/src/local.rs
@@ -12,26 +12,32 @@
 use rosemarypitch_upstream::{
     Call, DecodeStream, EngineAddress, Engines, ErrorKind, UpstreamError,
 };
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::engine::Engine;
+use crate::net::{self, Gate};
 
 /// Frames that may wait to be read.
 const STREAM_BUFFER: usize = 1_024;
 /// Time in which a call to a dead engine fails.
 const DEAD_TIME: Duration = Duration::from_millis(5);
 
-/// Engines by address.
-#[derive(Clone, Default)]
+/// Engines by address, as one host reaches them.
+#[derive(Clone)]
 pub struct LocalEngines {
-    engines: HashMap<SocketAddr, Arc<Engine>>,
+    engines: Arc<HashMap<SocketAddr, Arc<Engine>>>,
     delay: Duration,
+    gate: watch::Receiver<Gate>,
 }
 
 impl LocalEngines {
-    /// Engines that are `delay` away, one way.
-    pub fn new(engines: HashMap<SocketAddr, Arc<Engine>>, delay: Duration) -> Self {
-        Self { engines, delay }
+    /// Engines that are `delay` away, one way; `gate` is that of the host.
+    pub fn new(
+        engines: Arc<HashMap<SocketAddr, Arc<Engine>>>,
+        delay: Duration,
+        gate: watch::Receiver<Gate>,
+    ) -> Self {
+        Self { engines, delay, gate }
     }
 
     async fn reach(
@@ -39,6 +45,9 @@
         step: &'static str,
         engine: &EngineAddress,
     ) -> Result<&Arc<Engine>, UpstreamError> {
+        if !net::pass(&mut self.gate.clone()).await {
+            return std::future::pending().await;
+        }
         tokio::time::sleep(self.delay).await;
         match self.engines.get(&engine.address) {
             Some(found) if !found.is_stopped() => Ok(found),
--- a/crates/rosemarypitch/src/cli.rs
+++ b/crates/rosemarypitch/src/cli.rs
@@ -46,6 +46,8 @@
     Demo(DemoOptions),
     /// Send load to a running host.
     Load(LoadOptions),
+    /// Run hosts on a paused clock under a seeded load, and measure.
+    Experiment(ExperimentOptions),
     /// Read and patch the configuration.
     #[command(subcommand)]
     Config(ConfigCommand),
@@ -138,6 +140,19 @@
     pub quiet: bool,
 }
 
+/// Options of experiments.
+#[derive(Args, Debug)]
+pub struct ExperimentOptions {
+    /// One experiment, or a table of many, JSON.
+    pub file: PathBuf,
+    /// Seeds of each cell; they count up from the plan's own.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+    pub seeds: u64,
+    /// Print JSON in place of a table.
+    #[arg(long = "as-json")]
+    pub as_json: bool,
+}
+
 /// Commands on the configuration.
 #[derive(Debug, Subcommand)]
 pub enum ConfigCommand {
--- a/crates/rosemarypitch/src/main.rs
+++ b/crates/rosemarypitch/src/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod cli;
 mod demo;
+mod experiment;
 mod failure;
 mod load;
 mod logging;
@@ -37,6 +38,7 @@
         Command::Standin(kind) => standin::run(kind),
         Command::Demo(options) => demo::run(&options),
         Command::Load(options) => load::run(&options),
+        Command::Experiment(options) => experiment::run(&options),
         Command::Config(command) => operate::config(&cli.admin, command),
         Command::Customer(command) => operate::customer(&cli.admin, command),
         Command::Key(command) => operate::key(&cli.admin, command),
