Ask the next host in rank when a pool's owner is lost

A request queued while its pool's owner died was refused after 4 tries at the same dead owner (seen: 'no owner of the model's pool can be reached'); the same when an owner left gracefully. Ruled out: membership (silence is 5 s by design, the refusal came after 0.4 s).

Change: a host leaves out owners that it lost and stops waiting for one that goes away; short calls in LocalEngines end after 1 s as in HttpEngines.

Conclusion: ownership is quality, not safety, as designed; the retry was too narrow.

--- a/crates/rosemarypitch-gateway/src/completion.rs
+++ b/crates/rosemarypitch-gateway/src/completion.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use rosemarypitch_config::{Caller, Class, Model, Target, UpstreamKind};
+use rosemarypitch_limit::HostId;
 use rosemarypitch_peer::{Ask, Note, PlaceAsk, PlaceReply, PoolKey, Reply};
 use rosemarypitch_route::{AttemptId, Progress, pieces};
 use rosemarypitch_upstream::wire::{DecodeAsk, PrefillAsk};
@@ -297,13 +298,16 @@
     async fn place(&mut self, prompt: u32, output: u32) -> Result<(Holding, Places), Problem> {
         let pool = self.pool();
         let wait = Duration::from_millis(self.target.wait_ms);
+        let mut lost: Vec<HostId> = Vec::new();
         for _ in 0..PLACE_TRIES {
-            let owner = self.owner(&pool);
+            let chosen = self.owner(&pool, &lost);
+            let owner = chosen.as_ref().map(|(_, address)| *address);
             let holding =
                 Holding::new(self.host.clone(), self.attempt.clone(), pool.clone(), owner);
             let ask = self.place_ask(&pool, prompt, output);
             let reply = tokio::select! {
                 reply = ask_place(&self.host, owner, ask, wait + ANSWER_TIME) => reply,
+                () = until_gone(&self.host, chosen.as_ref()) => None,
                 () = self.host.until_withdrawn(&self.ask.caller.digest) => {
                     return Err(self.withdrawn());
                 }
@@ -325,9 +329,10 @@
                 Some(PlaceReply::NoEngine) => {
                     return Err(self.unavailable("no engine serves the model here"));
                 }
-                // The owner is gone or handed over: its view has changed, or soon will.
+                // The owner is gone or handed over: the next in rank takes its place.
                 None => {
                     drop(holding);
+                    lost.extend(chosen.map(|(id, _)| id));
                     tokio::time::sleep(PLACE_PAUSE).await;
                     self.attempt = self.attempt.next();
                 }
@@ -349,10 +354,11 @@
         }
     }
 
-    fn owner(&self, pool: &PoolKey) -> Option<SocketAddr> {
+    /// The pool's owner, none for this host, but for those that were lost.
+    fn owner(&self, pool: &PoolKey, lost: &[HostId]) -> Option<(HostId, SocketAddr)> {
         let view = self.host.view.borrow();
-        let owner = view.owner_near(&pool.text())?;
-        (!view.is_own(owner)).then_some(owner.address)
+        let owner = view.owner_near_except(&pool.text(), lost)?;
+        (!view.is_own(owner)).then(|| (owner.id.clone(), owner.address))
     }
 
     fn place_ask(&self, pool: &PoolKey, prompt: u32, output: u32) -> PlaceAsk {
@@ -476,7 +482,7 @@
         }
         let pool = self.pool();
         let attempt = holding.attempt().clone();
-        let reply = match self.owner(&pool) {
+        let reply = match holding.owner() {
             None => self.host.pools.replace(pool, attempt).await,
             Some(owner) => {
                 let ask = Ask::Replace(pool, attempt);
@@ -592,6 +598,17 @@
     Caller,
 }
 
+/// Waits until a pool's owner is not there any more; for ever when it is this host.
+async fn until_gone(host: &Host, owner: Option<&(HostId, SocketAddr)>) {
+    let mut view = host.view.clone();
+    let Some((id, _)) = owner else { return std::future::pending().await };
+    while view.borrow_and_update().is_live(id) {
+        if view.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
 /// The owner's answer; none when it gave none.
 async fn ask_place(
     host: &Host,
--- a/crates/rosemarypitch-gateway/src/holding.rs
+++ b/crates/rosemarypitch-gateway/src/holding.rs
@@ -36,6 +36,11 @@
         &self.attempt
     }
 
+    /// The pool's owner that was asked; none means this host.
+    pub fn owner(&self) -> Option<SocketAddr> {
+        self.owner
+    }
+
     /// Notes that an engine may hold something for the attempt from now on.
     pub fn touch(&mut self, engine: &EngineAddress) {
         if !self.engines.contains(engine) {
--- a/crates/rosemarypitch-gateway/src/view.rs
+++ b/crates/rosemarypitch-gateway/src/view.rs
@@ -20,7 +20,19 @@
 impl View {
     /// The live host of this region that owns `key`.
     pub fn owner_near(&self, key: &str) -> Option<&Sighting> {
-        self.owner(key, |sighting| sighting.region == self.own.region)
+        self.owner_near_except(key, &[])
+    }
+
+    /// The live host of this region that owns `key`, when some cannot be reached.
+    pub fn owner_near_except(&self, key: &str, except: &[HostId]) -> Option<&Sighting> {
+        self.owner(key, |sighting| {
+            sighting.region == self.own.region && !except.contains(&sighting.id)
+        })
+    }
+
+    /// Whether a host run is there and not leaving.
+    pub fn is_live(&self, id: &HostId) -> bool {
+        self.live.iter().any(|sighting| sighting.id == *id)
     }
 
     /// The live host of the fleet that owns `key`.
--- /dev/null
+++ b/crates/rosemarypitch-once/tests/history.rs
@@ -0,0 +1,222 @@
+//! History check: of all attempts at one idempotency key, at most one may dispatch.
+//!
+//! Several writers of every shard run at once against one platform whose answers are lost
+//! and which goes away and comes back, on a paused clock.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemarypitch_once::{
+    Answer, ClaimAsk, ClaimReply, RETAINED_WINDOWS, SHARDS, Shard, WINDOW_TIME, shard_of,
+};
+use rosemarypitch_platform::Store;
+use rosemarypitch_standin::{MemoryStore, PortFaults};
+use tokio::runtime;
+
+/// An event of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Event {
+    /// An attempt was told to dispatch.
+    Dispatched { key: u64, attempt: Arc<str> },
+    /// An attempt was told that the key is free again, after its release was recorded.
+    Released { key: u64, attempt: Arc<str> },
+    /// A repeat was told this recorded outcome.
+    Replayed { key: u64, by: u16 },
+}
+
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self, below: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % below
+    }
+}
+
+const WRITERS: u64 = 3;
+const ATTEMPTS: u64 = 60;
+const KEYS: u64 = 12;
+
+fn claim(key: u64, by: &Arc<str>) -> ClaimAsk {
+    ClaimAsk::Claim { key: key_text(key), by: by.clone(), print: Arc::from("print") }
+}
+
+fn key_text(key: u64) -> Arc<str> {
+    Arc::from(format!("key-{key}"))
+}
+
+fn answer(status: u16) -> Answer {
+    Answer { status, media: None, body: Some(Arc::from("body")) }
+}
+
+fn on_paused_clock<T>(run: impl Future<Output = T>) -> T {
+    let runtime = runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    runtime.expect("a runtime").block_on(run)
+}
+
+async fn run(seed: u64, planted: bool) -> Vec<Event> {
+    let mut random = Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    let store = MemoryStore::new(Duration::ZERO);
+    let mut ports = Vec::new();
+    let mut shards = HashMap::new();
+    for writer in 0..WRITERS {
+        let port = store.port(&format!("writer-{writer}"));
+        for shard in 0..SHARDS {
+            // A planted fault: each writer has a platform of its own.
+            let own = MemoryStore::new(Duration::ZERO).port("alone");
+            let store: Arc<dyn Store> = if planted { own } else { port.clone() };
+            let name = Arc::from(format!("{writer}-{seed}"));
+            shards.insert((writer, shard), Shard::start(store, shard, name));
+        }
+        ports.push(port);
+    }
+    let (events, mut history) = tokio::sync::mpsc::unbounded_channel();
+    let mut tasks = tokio::task::JoinSet::new();
+    for attempt in 0..ATTEMPTS {
+        let port = &ports[random.next(WRITERS) as usize];
+        port.set_faults(PortFaults {
+            down: random.next(8) == 0,
+            slow_ms: random.next(40),
+            lose_answers: random.next(5) == 0,
+        });
+        let key = random.next(KEYS);
+        let writer = random.next(WRITERS);
+        let shard = shards[&(writer, shard_of(&key_text(key)))].clone();
+        let name: Arc<str> = Arc::from(format!("attempt-{attempt}"));
+        let (fate, pause) = (random.next(3), random.next(300));
+        let events = events.clone();
+        tasks.spawn(async move {
+            match shard.ask(claim(key, &name)).await {
+                ClaimReply::Claimed => {}
+                ClaimReply::Done(answer) => {
+                    let _ = events.send(Event::Replayed { key, by: answer.status });
+                    return;
+                }
+                _ => return,
+            }
+            if fate == 0 {
+                // The call surely has not run: the key is given up.
+                let release = ClaimAsk::Release { key: key_text(key), by: name.clone() };
+                if shard.ask(release).await == ClaimReply::Recorded {
+                    let _ = events.send(Event::Released { key, attempt: name });
+                }
+                return;
+            }
+            let _ = events.send(Event::Dispatched { key, attempt: name.clone() });
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            if fate == 1 {
+                let answer = answer(key as u16);
+                shard.ask(ClaimAsk::Finish { key: key_text(key), by: name, answer }).await;
+            }
+        });
+        tokio::time::sleep(Duration::from_millis(random.next(80))).await;
+    }
+    drop(events);
+    tasks.join_all().await;
+    let mut all = Vec::new();
+    while let Some(event) = history.recv().await {
+        all.push(event);
+    }
+    all
+}
+
+/// Keys that were dispatched twice, or replayed with another key's outcome.
+fn violations(history: &[Event]) -> Vec<u64> {
+    let mut dispatched: HashMap<u64, u32> = HashMap::new();
+    let mut found = Vec::new();
+    for event in history {
+        match event {
+            Event::Dispatched { key, .. } => *dispatched.entry(*key).or_default() += 1,
+            Event::Replayed { key, by } if u64::from(*by) != *key => found.push(*key),
+            Event::Released { .. } | Event::Replayed { .. } => {}
+        }
+    }
+    found.extend(dispatched.iter().filter(|(_, count)| **count > 1).map(|(key, _)| *key));
+    found
+}
+
+fn seeds() -> u64 {
+    std::env::var("HISTORY_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(200)
+}
+
+#[test]
+fn at_most_one_attempt_of_a_key_dispatches() {
+    let mut dispatched = 0;
+    for seed in 0..seeds() {
+        let history = on_paused_clock(run(seed, false));
+        assert_eq!(violations(&history), [0; 0], "seed {seed}: {history:?}");
+        let sent = history.iter().filter(|event| matches!(event, Event::Dispatched { .. }));
+        dispatched += sent.count() as u64;
+    }
+    assert!(dispatched > seeds() * KEYS / 4, "only {dispatched} dispatched");
+}
+
+#[test]
+fn the_check_finds_writers_that_do_not_share_a_platform() {
+    let found = (0..20).any(|seed| !violations(&on_paused_clock(run(seed, true))).is_empty());
+    assert!(found);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_is_known_to_another_writer_after_many_windows() {
+    let store = MemoryStore::new(Duration::ZERO);
+    let key = key_text(1);
+    let index = shard_of(&key);
+    let first = Shard::start(store.port("first"), index, Arc::from("first"));
+    assert_eq!(first.ask(claim(1, &Arc::from("one"))).await, ClaimReply::Claimed);
+    for window in 0..RETAINED_WINDOWS - 2 {
+        tokio::time::sleep(WINDOW_TIME + Duration::from_secs(1)).await;
+        let by: Arc<str> = Arc::from(format!("filler-{window}"));
+        let filler = ClaimAsk::Claim {
+            key: Arc::from(format!("filler-{window}")),
+            by,
+            print: Arc::from("print"),
+        };
+        assert_eq!(first.ask(filler).await, ClaimReply::Claimed);
+    }
+    let second = Shard::start(store.port("second"), index, Arc::from("second"));
+    let reply = second.ask(claim(1, &Arc::from("two"))).await;
+    assert_eq!(reply, ClaimReply::Taken(Arc::from("one")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_whose_answer_was_lost_is_read_back() {
+    let store = MemoryStore::new(Duration::ZERO);
+    let port = store.port("one");
+    let index = shard_of(&key_text(1));
+    let shard = Shard::start(port.clone(), index, Arc::from("one"));
+    port.set_faults(PortFaults { lose_answers: true, ..PortFaults::default() });
+    let by: Arc<str> = Arc::from("attempt");
+    assert_eq!(shard.ask(claim(1, &by)).await, ClaimReply::Unavailable);
+    port.set_faults(PortFaults::default());
+    assert_eq!(shard.ask(claim(1, &by)).await, ClaimReply::Claimed);
+    let other = shard.ask(claim(1, &Arc::from("other"))).await;
+    assert_eq!(other, ClaimReply::Taken(by));
+}
+
+#[rstest::rstest]
+#[case::repeat_after_the_answer("print", true, ClaimReply::Done(answer(201)))]
+#[case::repeat_while_it_may_run("print", false, ClaimReply::Taken(Arc::from("one")))]
+#[case::another_request("other", true, ClaimReply::Mismatch)]
+#[tokio::test(start_paused = true)]
+async fn a_repeat_learns_the_truth(
+    #[case] print: &str,
+    #[case] finished: bool,
+    #[case] expected: ClaimReply,
+) {
+    let store = MemoryStore::new(Duration::ZERO);
+    let shard = Shard::start(store.port("one"), shard_of("k"), Arc::from("one"));
+    let key: Arc<str> = Arc::from("k");
+    let one: Arc<str> = Arc::from("one");
+    let first = ClaimAsk::Claim { key: key.clone(), by: one.clone(), print: Arc::from("print") };
+    assert_eq!(shard.ask(first).await, ClaimReply::Claimed);
+    if finished {
+        let finish = ClaimAsk::Finish { key: key.clone(), by: one, answer: answer(201) };
+        assert_eq!(shard.ask(finish).await, ClaimReply::Recorded);
+    }
+    let again = ClaimAsk::Claim { key, by: Arc::from("two"), print: Arc::from(print) };
+    assert_eq!(shard.ask(again).await, expected);
+}
--- a/crates/rosemarypitch-standin/src/engine.rs
+++ b/crates/rosemarypitch-standin/src/engine.rs
@@ -41,6 +41,8 @@
     fence: u64,
     leaving: bool,
     stopped: bool,
+    silent: bool,
+    crossed: bool,
     work: HashMap<AttemptId, Work>,
     cancelled: HashSet<AttemptId>,
     queue: BTreeSet<(u8, u64, AttemptId)>,
@@ -72,6 +74,8 @@
             fence: 0,
             leaving: false,
             stopped: false,
+            silent: false,
+            crossed: false,
             work: HashMap::new(),
             cancelled: HashSet::new(),
             queue: BTreeSet::new(),
@@ -173,6 +177,13 @@
                 () = tokio::time::sleep(self.shape.step_time(batch)) => {}
                 _ = stop.changed() => return,
             }
+            if self.is_silent() {
+                let _ = stop.changed().await;
+                return;
+            }
+            if self.lock().crossed {
+                cross(&attempt, index, &tokens).await;
+            }
             let text = token_text(&export.prompt, index);
             let frame = Frame::Token { attempt: attempt.clone(), index, text };
             // A reader that is gone does not end the work; only a cancel does.
@@ -253,6 +264,21 @@
         self.lock().leaving = leaving;
     }
 
+    /// Goes silent: calls get no answer and streams no tokens, until it is let speak again.
+    pub fn set_silent(&self, silent: bool) {
+        self.lock().silent = silent;
+    }
+
+    /// Whether it is silent.
+    pub fn is_silent(&self) -> bool {
+        self.lock().silent
+    }
+
+    /// Mixes frames of other attempts and late ones into its streams.
+    pub fn set_crossed(&self, crossed: bool) {
+        self.lock().crossed = crossed;
+    }
+
     /// Dies: all work is gone and no call is taken, until it is started again.
     pub fn stop(&self) {
         let mut state = self.lock();
@@ -414,6 +440,17 @@
     }
 }
 
+/// Sends a frame of another attempt and, after the first token, one that came before.
+async fn cross(attempt: &AttemptId, index: u32, tokens: &Tokens) {
+    let text = "crossed".to_owned();
+    let other = Frame::Token { attempt: attempt.next(), index, text: text.clone() };
+    let _ = tokens.send(Ok(other)).await;
+    if let Some(index) = index.checked_sub(1) {
+        let late = Frame::Token { attempt: attempt.clone(), index, text };
+        let _ = tokens.send(Ok(late)).await;
+    }
+}
+
 /// Tokens of a text.
 pub fn token_count(text: &str) -> u32 {
     text.len().div_ceil(TOKEN_BYTES) as u32
--- a/crates/rosemarypitch-standin/src/engine_http.rs
+++ b/crates/rosemarypitch-standin/src/engine_http.rs
@@ -34,6 +34,9 @@
     if engine.is_stopped() {
         return Err(Dropped);
     }
+    if engine.is_silent() {
+        return std::future::pending().await;
+    }
     let (head, body) = request.into_parts();
     match (head.method, head.uri.path()) {
         (Method::POST, "/prefill") => {
--- a/crates/rosemarypitch-standin/src/local.rs
+++ b/crates/rosemarypitch-standin/src/local.rs
@@ -19,6 +19,8 @@
 
 /// Frames that may wait to be read.
 const STREAM_BUFFER: usize = 1_024;
+/// Longest wait for the answer to a short call.
+const CALL_TIME: Duration = Duration::from_secs(1);
 /// Time in which a call to a dead engine fails.
 const DEAD_TIME: Duration = Duration::from_millis(5);
 
@@ -50,6 +52,14 @@
         }
         tokio::time::sleep(self.delay).await;
         match self.engines.get(&engine.address) {
+            Some(found) if found.is_silent() => {
+                // Short calls have a time limit at every edge; long ones are the caller's.
+                if matches!(step, "prefill" | "decode") {
+                    return std::future::pending().await;
+                }
+                tokio::time::sleep(CALL_TIME).await;
+                Err(UpstreamError::new(step, &engine.name, ErrorKind::Timeout))
+            }
             Some(found) if !found.is_stopped() => Ok(found),
             _ => {
                 tokio::time::sleep(DEAD_TIME).await;
