--- a/crates/rosemarypitch-gateway/src/shares.rs
+++ b/crates/rosemarypitch-gateway/src/shares.rs
@@ -68,7 +68,11 @@
         };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
-            _ = parts.leave.changed() => {}
+            changed = parts.leave.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
             changed = parts.config.changed(), if tenure.owned().is_none() => {
                 if changed.is_err() {
                     return;
