--- a/crates/rosemarypitch-experiment/tests/requests.rs
+++ b/crates/rosemarypitch-experiment/tests/requests.rs
@@ -239,6 +239,21 @@
     assert_released(&fleet).await;
 }
 
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_cancelled_request_is_released_at_once(
+    #[values(At::Prefilling, At::Transferring, At::Decoding, At::Finishing)] at: At,
+) {
+    let fleet = fleet(shape(), |_| {}).await;
+    let completion = start(&fleet, 1);
+    tokio::time::sleep(instant(at)).await;
+    assert!(fleet.held() > 0);
+    drop(completion);
+    // Well before the owner's reconciliation would notice.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(fleet.held(), 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn late_and_crossed_frames_are_dropped_and_counted() {
     let fleet = fleet(shape(), |_| {}).await;
--- a/crates/rosemarypitch-gateway/src/pools.rs
+++ b/crates/rosemarypitch-gateway/src/pools.rs
@@ -35,7 +35,7 @@
 /// Longest wait for a host's word on its attempts.
 const VERIFY_TIME: Duration = Duration::from_secs(1);
 /// Engines in one part of a pool.
-const PART_ENGINES: usize = 24;
+const PART_ENGINES: usize = 12;
 
 /// Rules and polling times of pools.
 #[derive(Clone, Debug)]
--- a/crates/rosemarypitch-peer/src/member.rs
+++ b/crates/rosemarypitch-peer/src/member.rs
@@ -118,13 +118,17 @@
 
     /// Peers that are due a heartbeat now.
     pub fn due(&mut self, now: Instant) -> Vec<SocketAddr> {
-        let half = self.rules.heartbeat / 2;
-        let far_gap = self.rules.heartbeat * self.far_factor() - half;
+        let interval = self.rules.heartbeat;
+        let far_factor = self.far_factor();
         let mut due: Vec<SocketAddr> = self
             .partners()
             .filter(|member| {
                 let near = member.sighting.data_centre == self.own.data_centre;
-                let gap = if near { half } else { far_gap };
+                // A little less than the interval, so that a tick just before it counts; of
+                // two hosts one waits longer, so that not both begin.
+                let waits = near && self.own.id.host > member.sighting.id.host;
+                let gap = if waits { interval * 14 / 10 } else { interval * 9 / 10 };
+                let gap = if near { gap } else { gap * far_factor };
                 member.direct.is_none_or(|at| now - at >= gap)
             })
             .map(|member| member.sighting.address)
--- a/crates/rosemarypitch-peer/tests/contract.rs
+++ b/crates/rosemarypitch-peer/tests/contract.rs
@@ -83,6 +83,11 @@
     members.hear(now, &beat("x", 5));
     assert_eq!(members.due(now + Duration::from_millis(100)), []);
     assert_eq!(members.due(now + RULES.heartbeat).len(), 1);
+    // The other of the two waits longer, so that one exchange serves both.
+    let mut other = Members::new(sighting("zz", 1, 1), RULES);
+    other.hear(now, &beat("x", 5));
+    assert_eq!(other.due(now + RULES.heartbeat), []);
+    assert_eq!(other.due(now + RULES.heartbeat * 3 / 2).len(), 1);
 }
 
 struct Echo;
@@ -148,6 +153,41 @@
     assert!(client.call(peer, &Ask::Document(1), LIMIT).await.is_ok());
 }
 
+/// Forwards connections; those opened before `silent` turns true say nothing any more.
+async fn proxy(target: SocketAddr, silent: tokio::sync::watch::Receiver<bool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = listener.accept().await {
+            let mut silent = silent.clone();
+            let born_silent = *silent.borrow();
+            tokio::spawn(async move {
+                let mut far = tokio::net::TcpStream::connect(target).await.expect("connected");
+                let copy = tokio::io::copy_bidirectional(&mut near, &mut far);
+                tokio::select! {
+                    _ = copy => {}
+                    _ = silent.wait_for(|silent| *silent), if !born_silent => {}
+                }
+                // Keep both ends open and say nothing.
+                std::future::pending::<()>().await;
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_silent_connection_is_replaced_by_a_new_one() {
+    let server = server("secret-of-the-fleet").await;
+    let (silence, silent) = tokio::sync::watch::channel(false);
+    let peer = proxy(server, silent).await;
+    let client = client("secret-of-the-fleet");
+    let limit = Duration::from_millis(300);
+    assert!(client.call(peer, &Ask::Document(1), limit).await.is_ok());
+    silence.send_replace(true);
+    assert!(client.call_idempotent(peer, &Ask::Document(1), limit).await.is_ok());
+}
+
 #[tokio::test]
 async fn a_peer_that_is_not_there_was_sent_nothing() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/rosemarypitch/tests/failures.rs
+++ b/crates/rosemarypitch/tests/failures.rs
@@ -26,9 +26,12 @@
             tokio::spawn(request.bearer_auth(CLUBS).json(&body).send())
         })
         .collect();
+    // The callers keep reading: nothing but the kill ends these streams.
+    let mut open = Vec::new();
     for stream in streams {
         let response = stream.await.expect("sent").expect("an answer");
         assert_eq!(response.status(), StatusCode::OK);
+        open.push(response);
     }
     assert!(!site.work(1).await.is_empty() || !site.work(2).await.is_empty());
     site.hosts[0].process.kill();
@@ -204,6 +207,40 @@
     assert_eq!((count("one"), count("seven"), count("eight")), (1, 1, 1));
 }
 
+#[tokio::test]
+async fn a_broken_call_goes_to_another_server_only_if_it_may_be_repeated() {
+    let site = Site::start(1, &plans()).await;
+    let other = support::Process::start(&["standin", "service"]);
+    let kind = json!({ "service": { "service": "entry-desk" } });
+    let upstream = json!({ "kind": kind, "address": other.line, "data_centre": "a" });
+    let response = site.patch(0, 1, &json!({ "upstreams": { "desk-1": upstream } })).await;
+    assert_eq!(response.status(), StatusCode::OK);
+    site.until_number(2).await;
+    let url = site.url(0, "/entry-desk/teams?fail=after");
+    for (method, count) in [(reqwest::Method::POST, 1), (reqwest::Method::GET, 2)] {
+        let request = site.client.request(method.clone(), &url).bearer_auth(CLUBS);
+        let response = request.body("x").send().await.expect("an answer");
+        assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+        let calls = |line: &str| reqwest::get(format!("http://{line}/_calls"));
+        let mut seen = 0;
+        for line in [&site.desk.line, &other.line] {
+            let all: Vec<Value> = calls(line).await.expect("sent").json().await.expect("JSON");
+            seen += all.iter().filter(|call| call["method"] == method.as_str()).count();
+        }
+        assert_eq!(seen, count, "{method}");
+    }
+    // A leaving server gets nothing, whatever the other answers.
+    let leaving = json!({ "upstreams": { "desk-0": { "state": "leaving" } } });
+    let before = site.desk_calls().await.len();
+    assert_eq!(site.patch(0, 2, &leaving).await.status(), StatusCode::OK);
+    site.until_number(3).await;
+    for host in [0, 1, 2, 0, 1, 2] {
+        let request = site.client.post(site.url(host, "/entry-desk/teams")).bearer_auth(CLUBS);
+        assert_eq!(request.body("y").send().await.expect("sent").status(), StatusCode::OK);
+    }
+    assert_eq!(site.desk_calls().await.len(), before);
+}
+
 #[tokio::test]
 async fn a_customer_gets_no_more_than_its_limit_over_all_hosts_while_one_restarts() {
     let mut site = Site::start(2, &plans()).await;
