--- a/crates/rosemarypitch/tests/failures.rs
+++ b/crates/rosemarypitch/tests/failures.rs
@@ -12,6 +12,9 @@
 /// Longest wait for something that the brief wants within seconds.
 const SECONDS: Duration = Duration::from_secs(10);
 
+/// Tokens that take longer than any pause of a graceful shutdown.
+const LONG: u32 = 1_000;
+
 fn plans() -> Vec<HostPlan> {
     vec![HostPlan::new("a-1", "a"), HostPlan::new("a-2", "a"), HostPlan::new("b-1", "b")]
 }
@@ -86,7 +89,8 @@
     for number in 0..8 {
         let prompt = format!("file {number}");
         let request = site.client.post(site.url(0, "/v1/chat/completions"));
-        let body = chat(&prompt, 300, false);
+        // Longer than the notice that a stopping host gives before it closes its listener.
+        let body = chat(&prompt, LONG, false);
         sent.push((prompt, tokio::spawn(request.bearer_auth(CLUBS).json(&body).send())));
     }
     tokio::time::sleep(Duration::from_millis(100)).await;
@@ -95,7 +99,7 @@
         let response = task.await.expect("sent").expect("an answer");
         assert_eq!(response.status(), StatusCode::OK);
         let body: Value = response.json().await.expect("JSON");
-        assert_eq!(body["choices"][0]["message"]["content"], expected(&prompt, 300));
+        assert_eq!(body["choices"][0]["message"]["content"], expected(&prompt, LONG));
     }
     assert!(site.hosts[0].process.ended(Duration::from_secs(20)).await);
     let response = site.complete(1, CLUBS, &chat("after the stop", 5, false)).await;
