Split long files by job and state a body's fault once

Cause: reading as a newcomer: completion.rs had 648 lines and two jobs, pool.rs held its messages and rules beside the machine, and the refusal of a faulty body stood twice.

--- a/crates/rosemarypitch-gateway/src/bounded.rs
+++ b/crates/rosemarypitch-gateway/src/bounded.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::leak::{Leak, LeakScan};
+use crate::problem::{Problem, ProblemKind};
 
 /// Error of a body.
 pub type BodyError = Box<dyn Error + Send + Sync>;
@@ -119,6 +120,22 @@
     Broken,
 }
 
+impl From<ReadError> for Problem {
+    /// A problem of a request of which nothing was passed on.
+    fn from(error: ReadError) -> Self {
+        let (kind, detail) = match error {
+            ReadError::Bound(Bound::Size) => (ProblemKind::TooLarge, "the body is too large"),
+            ReadError::Bound(Bound::Time) => (ProblemKind::SlowRequest, "the body took too long"),
+            ReadError::Leak => (
+                ProblemKind::BadRequest,
+                "the request holds the caller's key outside the Authorization field",
+            ),
+            ReadError::Broken => (ProblemKind::BadRequest, "the body broke off"),
+        };
+        Self::new(kind, detail)
+    }
+}
+
 /// Reads a whole body within bounds.
 pub async fn read(
     body: Incoming,
--- a/crates/rosemarypitch-gateway/src/callers.rs
+++ b/crates/rosemarypitch-gateway/src/callers.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use crate::bounded::{self, AnyBody, BodyError, Bound, ReadError};
+use crate::bounded::{self, AnyBody, BodyError, ReadError};
 use crate::completion::{Completion, CompletionAsk, Output, Usage};
 use crate::host::Host;
 use crate::leak;
@@ -113,12 +113,12 @@
     let bounds = host.settings.bounds;
     let deadline = Instant::now() + bounds.body_time;
     let body = bounded::read(request.into_body(), bounds.body_bytes as u64, deadline, Some(&key));
-    let body = body.await.map_err(body_problem)?;
+    let body = body.await?;
     let parsed = openai::Request::parse(&body)?;
     let prompt = parsed.text(form)?;
     // JSON escapes could hide the key from the scan of the body.
     if leak::contains(prompt.as_bytes(), key.as_bytes()) {
-        return Err(body_problem(ReadError::Leak));
+        return Err(ReadError::Leak.into());
     }
     let ask = CompletionAsk {
         caller,
@@ -289,19 +289,6 @@
     (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
 }
 
-fn body_problem(error: ReadError) -> Problem {
-    let (kind, detail) = match error {
-        ReadError::Bound(Bound::Size) => (ProblemKind::TooLarge, "the body is too large"),
-        ReadError::Bound(Bound::Time) => (ProblemKind::SlowRequest, "the body took too long"),
-        ReadError::Leak => (
-            ProblemKind::BadRequest,
-            "the request holds the caller's key outside the Authorization field",
-        ),
-        ReadError::Broken => (ProblemKind::BadRequest, "the body broke off"),
-    };
-    Problem::new(kind, detail)
-}
-
 /// The response for a problem.
 pub fn refusal(problem: &Problem, id: &str) -> Response<AnyBody> {
     let body = problem.json(id).to_string();
--- a/crates/rosemarypitch-gateway/src/problem.rs
+++ b/crates/rosemarypitch-gateway/src/problem.rs
@@ -30,8 +30,6 @@
     BadRequest,
     /// No key, an unknown one, or one withdrawn.
     BadKey,
-    /// The key may not do this.
-    Forbidden,
     /// No such route, model or service.
     NotFound,
     /// A method that the route does not have.
@@ -64,7 +62,6 @@
         match self {
             Self::BadRequest => "bad-request",
             Self::BadKey => "bad-key",
-            Self::Forbidden => "forbidden",
             Self::NotFound => "not-found",
             Self::BadMethod => "bad-method",
             Self::SlowRequest => "slow-request",
@@ -85,7 +82,6 @@
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BadKey => StatusCode::UNAUTHORIZED,
-            Self::Forbidden => StatusCode::FORBIDDEN,
             Self::NotFound => StatusCode::NOT_FOUND,
             Self::BadMethod => StatusCode::METHOD_NOT_ALLOWED,
             Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
--- a/crates/rosemarypitch-gateway/src/service_call.rs
+++ b/crates/rosemarypitch-gateway/src/service_call.rs
@@ -104,7 +104,7 @@
         let (head, body) = request.into_parts();
         let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
         if self.key.as_deref().is_some_and(|key| leak::target_contains(target, key)) {
-            return Err(leaked());
+            return Err(ReadError::Leak.into());
         }
         let debited = self.debit(host).await?;
         let safe = matches!(head.method, Method::GET | Method::HEAD | Method::OPTIONS);
@@ -160,12 +160,11 @@
     ) -> Result<Response<AnyBody>, Problem> {
         let size = body.size_hint().exact();
         if size.is_some_and(|size| size > self.service.max_body) {
-            return Err(read_problem(ReadError::Bound(Bound::Size), Ran::No));
+            return Err(ReadError::Bound(Bound::Size).into());
         }
         let key = self.key.as_deref();
         if size.is_some_and(|size| size <= BUFFERED_BYTES) {
-            let bytes = bounded::read(body, self.service.max_body, deadline, key).await;
-            let bytes = bytes.map_err(|error| read_problem(error, Ran::No))?;
+            let bytes = bounded::read(body, self.service.max_body, deadline, key).await?;
             let response = self.send_whole(host, &outgoing, bytes, deadline).await?;
             return Ok(answer(response, deadline));
         }
@@ -238,8 +237,8 @@
         deadline: Instant,
         key: Arc<str>,
     ) -> Result<Response<AnyBody>, Problem> {
-        let bytes = bounded::read(body, self.service.max_body, deadline, self.key.as_deref()).await;
-        let bytes = bytes.map_err(|error| read_problem(error, Ran::No))?;
+        let key_text = self.key.as_deref();
+        let bytes = bounded::read(body, self.service.max_body, deadline, key_text).await?;
         let print = outgoing.print(&bytes);
         let by: Arc<str> = Arc::from(self.request.as_str());
         let claimed = Instant::now();
@@ -492,18 +491,3 @@
     };
     Problem::new(kind, error.to_string()).ran(progress.ran())
 }
-
-fn read_problem(error: ReadError, ran: Ran) -> Problem {
-    let (kind, detail) = match error {
-        ReadError::Bound(Bound::Size) => (ProblemKind::TooLarge, "the body is too large"),
-        ReadError::Bound(Bound::Time) => (ProblemKind::SlowRequest, "the body took too long"),
-        ReadError::Leak => return leaked(),
-        ReadError::Broken => (ProblemKind::BadRequest, "the body broke off"),
-    };
-    Problem::new(kind, detail).ran(ran)
-}
-
-fn leaked() -> Problem {
-    let detail = "the request holds the caller's key outside the Authorization field";
-    Problem::new(ProblemKind::BadRequest, detail)
-}
--- a/crates/rosemarypitch-route/src/lib.rs
+++ b/crates/rosemarypitch-route/src/lib.rs
@@ -9,15 +9,19 @@
 mod attempt;
 mod choice;
 mod engine;
+mod event;
 mod pool;
 mod prefix;
 mod progress;
 mod queue;
+mod rules;
 
 pub use attempt::{AttemptId, BadAttemptId};
 pub use choice::Choice;
 pub use engine::{EngineInfo, EngineLoad, EngineRole, EngineView};
-pub use pool::{Action, Event, Job, Placement, Pool, PoolRules, Refusal};
+pub use event::{Action, Event, Job, Placement, Refusal};
+pub use pool::Pool;
 pub use prefix::{PIECE_BYTES, PIECE_TOKENS, Piece, PrefixIndex, pieces};
 pub use progress::{Progress, Ran};
 pub use queue::{Flow, Queue};
+pub use rules::PoolRules;
