--- a/crates/rosemarypitch-experiment/tests/requests.rs
+++ b/crates/rosemarypitch-experiment/tests/requests.rs
@@ -372,6 +372,24 @@
     assert_released(&fleet).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_nobody_reads_is_given_up() {
+    let fleet = fleet(shape(), |_| {}).await;
+    let host = fleet.members[0].host.clone();
+    let ask = CompletionAsk {
+        caller: host.authenticate(CUSTOMER).expect("the key is in force"),
+        model: Arc::from("model"),
+        prompt: prompt(),
+        max_output: Some(1_500),
+    };
+    let completion = Completion::start(host, ask);
+    tokio::time::sleep(Duration::from_secs(50)).await;
+    assert_eq!(fleet.held(), 0);
+    let answer = finish(completion).await;
+    let problem = answer.problem.expect("not as if whole");
+    assert_eq!((problem.kind, problem.ran), (ProblemKind::SlowRequest, Ran::Yes));
+}
+
 #[test]
 fn hosts_of_a_deployment_have_names_of_their_own() {
     for deployment in [Deployment::Board, Deployment::Guild] {
--- a/crates/rosemarypitch-gateway/src/problem.rs
+++ b/crates/rosemarypitch-gateway/src/problem.rs
@@ -38,16 +38,12 @@
     SlowRequest,
     /// The idempotency key is in use, or its call may have run.
     Conflict,
-    /// The configuration has another number.
-    StaleNumber,
     /// The request is too large.
     TooLarge,
     /// The request breaks rules.
     Invalid,
     /// The customer's limit is spent.
     LimitSpent,
-    /// Head fields are too large.
-    HeadTooLarge,
     /// An upstream failed.
     UpstreamFailed,
     /// No engine or server is free, or the host is stopping or not ready.
@@ -66,11 +62,9 @@
             Self::BadMethod => "bad-method",
             Self::SlowRequest => "slow-request",
             Self::Conflict => "conflict",
-            Self::StaleNumber => "stale-number",
             Self::TooLarge => "too-large",
             Self::Invalid => "invalid",
             Self::LimitSpent => "limit-spent",
-            Self::HeadTooLarge => "head-too-large",
             Self::UpstreamFailed => "upstream-failed",
             Self::Unavailable => "unavailable",
             Self::UpstreamSlow => "upstream-slow",
@@ -86,11 +80,9 @@
             Self::BadMethod => StatusCode::METHOD_NOT_ALLOWED,
             Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
             Self::Conflict => StatusCode::CONFLICT,
-            Self::StaleNumber => StatusCode::PRECONDITION_FAILED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Invalid => StatusCode::UNPROCESSABLE_ENTITY,
             Self::LimitSpent => StatusCode::TOO_MANY_REQUESTS,
-            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamSlow => StatusCode::GATEWAY_TIMEOUT,
