Give an attempt whose engine left the configuration a new number

Cause: found in reading: when a placed engine was no longer configured, the next try used the same attempt; the end of the first, told in the background, could have been taken for the end of the second.

Change: the attempt counts up first, as on every other way to a new try.

--- a/crates/rosemarypitch-gateway/src/completion/place.rs
+++ b/crates/rosemarypitch-gateway/src/completion/place.rs
@@ -49,6 +49,9 @@
                     let (Some(prefill), Some(decode)) =
                         (self.engine(&prefill), self.engine(&decode))
                     else {
+                        // The engine was taken out of the configuration meanwhile. The end of
+                        // this attempt must not be taken for that of the next.
+                        self.attempt = self.attempt.next();
                         continue;
                     };
                     self.host.running.set_decode(&self.attempt, &decode.name);
