Give a region's pools only the engines of its own data centres

Cause: found in reading: pools are named by region, but their engines were all of the model's, so three regions would each have owned every engine. Sites of one region, both of today's, are not touched.

Change: the document names the data centres of regions; pools take their engines and count their parts by it. The capacity runs name three regions.

--- a/crates/rosemarypitch-config/src/document.rs
+++ b/crates/rosemarypitch-config/src/document.rs
@@ -25,6 +25,8 @@
     pub upstreams: BTreeMap<Arc<str>, Upstream>,
     /// Plain services by name.
     pub services: BTreeMap<Arc<str>, Service>,
+    /// Data centres of each region; a region that is not named here has all of them.
+    pub regions: BTreeMap<Arc<str>, Vec<Arc<str>>>,
     /// Limit shares of each data centre; fixed once set.
     pub shares: BTreeMap<Arc<str>, u32>,
     /// The last accepted patches, newest last.
@@ -37,6 +39,11 @@
         self.shares.values().sum()
     }
 
+    /// Whether a data centre belongs to a region.
+    pub fn is_in_region(&self, data_centre: &Arc<str>, region: &str) -> bool {
+        self.regions.get(region).is_none_or(|names| names.contains(data_centre))
+    }
+
     /// The targets of a class, or the default ones.
     pub fn target(&self, class: Class) -> Target {
         self.classes.get(&class).copied().unwrap_or_default()
--- a/crates/rosemarypitch-config/tests/rules.rs
+++ b/crates/rosemarypitch-config/tests/rules.rs
@@ -181,3 +181,12 @@
         }
     }
 }
+
+#[test]
+fn a_region_that_is_named_has_only_its_own_data_centres() {
+    let mut document = document();
+    assert!(document.is_in_region(&Arc::from("a"), "east"));
+    document.regions.insert(Arc::from("east"), vec![Arc::from("a")]);
+    assert!(document.is_in_region(&Arc::from("a"), "east"));
+    assert!(!document.is_in_region(&Arc::from("b"), "east"));
+}
--- a/crates/rosemarypitch-experiment/src/capacity.rs
+++ b/crates/rosemarypitch-experiment/src/capacity.rs
@@ -138,7 +138,7 @@
 }
 
 fn spec(plan: &SlopePlan) -> FleetSpec {
-    let engines = ((plan.hosts as f64 * ENGINES_PER_HOST) as usize).max(6 * MODELS);
+    let engines = ((plan.hosts as f64 * ENGINES_PER_HOST) as usize).max(3 * MODELS * DATA_CENTRES);
     let shape = EngineShape { step_us: 2_000, step_each_us: 100, ..EngineShape::default() };
     let host = |index: usize| HostSpec {
         name: Arc::from(format!("host-{index}")),
@@ -177,6 +177,14 @@
         models: (0..MODELS).map(|index| (model_name(index), model.clone())).collect(),
         classes: BTreeMap::from([(Class::Short, Target::default())]),
         upstreams,
+        regions: (0..DATA_CENTRES / 2)
+            .map(|at| {
+                (
+                    Arc::from(format!("region-{at}")),
+                    vec![data_centre(2 * at), data_centre(2 * at + 1)],
+                )
+            })
+            .collect(),
         shares: (0..DATA_CENTRES.min(plan.hosts)).map(|at| (data_centre(at), SHARES)).collect(),
         ..Document::default()
     }
--- a/crates/rosemarypitch-gateway/src/completion/place.rs
+++ b/crates/rosemarypitch-gateway/src/completion/place.rs
@@ -78,12 +78,13 @@
 
     fn pool(&self) -> PoolKey {
         let snapshot = self.host.snapshot();
-        let parts = pools::part_count(&snapshot.document, &self.ask.model);
+        let region = &self.host.settings.region;
+        let parts = pools::part_count(&snapshot.document, region, &self.ask.model);
         let names = pieces(&self.ask.prompt);
         // Requests with a common first piece meet in one part, where it is cached.
         let key = names.first().copied().unwrap_or(self.attempt.request);
         PoolKey {
-            region: self.host.settings.region.clone(),
+            region: region.clone(),
             model: self.ask.model.clone(),
             part: (key % u64::from(parts)) as u32,
         }
--- a/crates/rosemarypitch-gateway/src/pools.rs
+++ b/crates/rosemarypitch-gateway/src/pools.rs
@@ -167,10 +167,10 @@
 }
 
 /// The number of parts of a model's pool in a region.
-pub fn part_count(document: &Document, model: &str) -> u32 {
+pub fn part_count(document: &Document, region: &str, model: &str) -> u32 {
     let engines = document.upstreams.values().filter(|upstream| match &upstream.kind {
         UpstreamKind::Prefill { model: of } | UpstreamKind::Decode { model: of, .. } => {
-            of.as_ref() == model
+            of.as_ref() == model && document.is_in_region(&upstream.data_centre, region)
         }
         UpstreamKind::Service { .. } => false,
     });
@@ -460,7 +460,7 @@
 ///
 /// Prefill and decode engines are dealt to the parts separately, so each part has both.
 fn engines(document: &Document, key: &PoolKey) -> Vec<(EngineInfo, EngineAddress)> {
-    let parts = part_count(document, &key.model) as usize;
+    let parts = part_count(document, &key.region, &key.model) as usize;
     let mut dealt = [0_usize; 2];
     let mut found = Vec::new();
     for (name, upstream) in &document.upstreams {
@@ -471,6 +471,9 @@
             }
             _ => continue,
         };
+        if !document.is_in_region(&upstream.data_centre, &key.region) {
+            continue;
+        }
         let count = &mut dealt[usize::from(role == EngineRole::Prefill)];
         let part = *count % parts;
         *count += 1;
