Add the forwarding path and the platform folder: first draft that builds

Cause: the product has no forwarded call; the platform's protocol is new to it. Change: crate rosemarypitch-forward (request life, placement, quota, budget, roster), folder platform/ (settings, configuration, entries, store, headers), command router. The crate of the store edge is renamed rosemarypitch-store, so that platform/ is the only thing of that name.

--- /dev/null
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -0,0 +1,163 @@
+//! The control thread: what the store says, and what this host says there.
+//!
+//! One watch covers everything. It is renewed before it could hide a leaving upstream for
+//! longer than the host may go on using it, and a watch that gives nothing in time counts
+//! as lost. A host that has lost the store keeps what it knows.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::edge::{DirectoryError, Fact, Facts};
+use crate::roster::Upstream;
+use crate::router::Router;
+
+/// Longest wait of a watch: with the time to notice a silent one it stays below the two
+/// seconds after which a leaving upstream must get nothing.
+pub const WATCH_WAIT: Duration = Duration::from_millis(1_300);
+/// First pause after a failed call to the store.
+const FIRST_PAUSE: Duration = Duration::from_millis(80);
+/// Longest pause after failed calls to the store.
+const MAX_PAUSE: Duration = Duration::from_millis(600);
+
+/// Follows the store until the process ends.
+pub async fn follow(router: Arc<Router>) {
+    let mut follower = Follower { router, outage: false, pause: FIRST_PAUSE, revision: 0 };
+    loop {
+        if follower.read().await {
+            follower.watch().await;
+        }
+        follower.wait().await;
+    }
+}
+
+struct Follower {
+    router: Arc<Router>,
+    /// Whether calls to the store have failed since the last whole list.
+    outage: bool,
+    pause: Duration,
+    revision: u64,
+}
+
+impl Follower {
+    /// Reads all that there is; false if the store does not answer.
+    async fn read(&mut self) -> bool {
+        let facts = match self.router.directory.read().await {
+            Ok(facts) => facts,
+            Err(error) => {
+                self.lost(&error);
+                return false;
+            }
+        };
+        log::info!(
+            "control: store read revision={} facts={} outage={}",
+            facts.revision,
+            facts.facts.len(),
+            self.outage,
+        );
+        let now = Instant::now();
+        let (upstreams, rest): (Vec<Fact>, Vec<Fact>) =
+            facts.facts.into_iter().partition(|fact| matches!(fact, Fact::Upstream(_)));
+        let upstreams = upstreams.into_iter().filter_map(upstream).collect();
+        let outage = std::mem::take(&mut self.outage);
+        for fact in rest {
+            self.apply(now, fact);
+        }
+        self.router.update_roster(now, |roster| roster.replace(now, upstreams, outage));
+        self.router.mark_current(now);
+        self.revision = facts.revision;
+        self.pause = FIRST_PAUSE;
+        self.note_ready();
+        true
+    }
+
+    /// Watches until the store is lost or has dropped its history.
+    async fn watch(&mut self) {
+        loop {
+            let now = Instant::now();
+            let due = self.router.roster_due().map(|due| due.saturating_duration_since(now));
+            let wait = due.unwrap_or(WATCH_WAIT).min(WATCH_WAIT);
+            let result = self.router.directory.watch(self.revision, wait).await;
+            let now = Instant::now();
+            match result {
+                Ok(Facts { facts, revision }) => {
+                    self.revision = self.revision.max(revision);
+                    self.take(now, facts);
+                    self.note_ready();
+                }
+                Err(DirectoryError::Compacted) => {
+                    log::info!("control: store history gone revision={}", self.revision);
+                    self.pause = Duration::ZERO;
+                    return;
+                }
+                Err(error) => return self.lost(&error),
+            }
+        }
+    }
+
+    fn take(&mut self, now: Instant, facts: Vec<Fact>) {
+        let changed = !facts.is_empty() || self.router.roster_due().is_some();
+        self.router.mark_current(now);
+        for fact in facts {
+            self.apply(now, fact);
+        }
+        if changed {
+            let gone = self.router.update_roster(now, |roster| roster.expire(now));
+            for id in gone {
+                log::info!("control: upstream gone upstream={id}");
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Instant, fact: Fact) {
+        match fact {
+            Fact::Site(site) => {
+                let (version, routes) = (site.version, site.routes.len());
+                if self.router.set_site(site) {
+                    log::info!("control: configuration in force version={version} hosts={routes}");
+                }
+            }
+            Fact::Upstream(upstream) => {
+                log::info!(
+                    "control: upstream id={} service={} state={:?} stage={:?} born={}",
+                    upstream.id,
+                    upstream.service,
+                    upstream.state,
+                    upstream.stage,
+                    upstream.born,
+                );
+                self.router.update_roster(now, |roster| roster.put(upstream));
+            }
+            Fact::NoUpstream(id) => {
+                log::info!("control: upstream entry gone upstream={id}");
+                self.router.update_roster(now, |roster| roster.remove(now, &id));
+            }
+            Fact::Host(..) | Fact::NoHost(_) | Fact::Secret(_) => {}
+        }
+    }
+
+    fn note_ready(&self) {
+        if self.router.site().is_some() && self.router.set_ready() {
+            log::info!("control: ready to take callers");
+        }
+    }
+
+    fn lost(&mut self, error: &DirectoryError) {
+        if !std::mem::replace(&mut self.outage, true) {
+            log::warn!("control: store lost revision={} {error}", self.revision);
+        }
+    }
+
+    async fn wait(&mut self) {
+        tokio::time::sleep(self.pause.mul_f64(rand::random_range(0.5..1.0))).await;
+        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
+    }
+}
+
+fn upstream(fact: Fact) -> Option<Upstream> {
+    match fact {
+        Fact::Upstream(upstream) => Some(upstream),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -0,0 +1,29 @@
+//! Forwarding of callers' requests to plain services and model engines.
+//!
+//! A host keeps one [`Router`]. [`serve::run`] runs it as a process. A request passes
+//! [`call`], then [`plain`] or [`generate`]. What is decided on the way is pure and takes
+//! the current instant as an argument: [`pool`] queues, refuses and places model requests,
+//! [`balance`] chooses servers of plain services, [`quota`] and [`budget`] keep limits over
+//! all hosts, [`roster`] knows the upstreams, [`health`] judges them. The deployment is
+//! met at [`edge`].
+
+pub mod balance;
+pub mod budget;
+pub mod call;
+pub mod client;
+pub mod control;
+pub mod edge;
+pub mod generate;
+pub mod health;
+pub mod metrics;
+pub mod plain;
+pub mod pool;
+pub mod quota;
+pub mod refusal;
+pub mod relay;
+pub mod roster;
+pub mod router;
+pub mod serve;
+pub mod site;
+
+pub use router::{Router, RouterSettings};
--- /dev/null
+++ b/crates/rosemarypitch-forward/src/metrics.rs
@@ -0,0 +1,109 @@
+//! Counters and histograms of the forwarding path.
+
+use std::time::Duration;
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of latency buckets, in seconds, around targets of 0.1 s to 1 s.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.6, 0.9, 1.5, 3.0, 10.0];
+
+/// Counters and histograms.
+pub struct Metrics {
+    registry: Registry,
+    answers: IntCounterVec,
+    latency: HistogramVec,
+    queue: HistogramVec,
+    sends: IntCounterVec,
+    facts: IntGaugeVec,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// All at zero.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let metrics = Self {
+            answers: counter("answers_total", "Answers to callers", &["service", "outcome"]),
+            latency: histogram(
+                "answer_seconds",
+                "Time to an answer's head",
+                &["service", "customer"],
+            ),
+            queue: histogram("queue_seconds", "Wait for a decode slot", &["service", "customer"]),
+            sends: counter("sends_total", "Requests to upstreams", &["step", "outcome"]),
+            facts: gauge("known", "Versions and sizes that are known", &["what"]),
+            registry,
+        };
+        let all: [Box<dyn prometheus::core::Collector>; 5] = [
+            Box::new(metrics.answers.clone()),
+            Box::new(metrics.latency.clone()),
+            Box::new(metrics.queue.clone()),
+            Box::new(metrics.sends.clone()),
+            Box::new(metrics.facts.clone()),
+        ];
+        for collector in all {
+            if let Err(error) = metrics.registry.register(collector) {
+                log::error!("metrics: a metric is not served: {error}");
+            }
+        }
+        metrics
+    }
+
+    /// An answer to a caller.
+    pub fn answer(&self, service: &str, customer: &str, outcome: &str, time: Duration) {
+        self.answers.with_label_values(&[service, outcome]).inc();
+        self.latency.with_label_values(&[service, customer]).observe(time.as_secs_f64());
+    }
+
+    /// A wait for a decode slot.
+    pub fn queue(&self, service: &str, customer: &str, time: Duration) {
+        self.queue.with_label_values(&[service, customer]).observe(time.as_secs_f64());
+    }
+
+    /// A request to an upstream.
+    pub fn send(&self, step: &str, outcome: &str) {
+        self.sends.with_label_values(&[step, outcome]).inc();
+    }
+
+    /// A version or size that is known now.
+    pub fn known(&self, what: &str, value: u64) {
+        self.facts.with_label_values(&[what]).set(i64::try_from(value).unwrap_or(i64::MAX));
+    }
+
+    /// All as text.
+    pub fn text(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
+            log::error!("metrics: cannot be encoded: {error}");
+            String::new()
+        })
+    }
+}
+
+fn name(short: &str) -> String {
+    format!("rosemarypitch_forward_{short}")
+}
+
+fn counter(short: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    // The names are constants, so the only error is a programming error.
+    #[allow(clippy::unwrap_used)]
+    IntCounterVec::new(Opts::new(name(short), help), labels).unwrap()
+}
+
+fn gauge(short: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    #[allow(clippy::unwrap_used)]
+    IntGaugeVec::new(Opts::new(name(short), help), labels).unwrap()
+}
+
+fn histogram(short: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name(short), help).buckets(LATENCY_BUCKETS.to_vec());
+    #[allow(clippy::unwrap_used)]
+    HistogramVec::new(options, labels).unwrap()
+}
--- /dev/null
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -0,0 +1,387 @@
+//! State of one host, shared between its control thread and its traffic threads.
+//!
+//! The control thread writes the configuration and the lists of upstreams; traffic threads
+//! read them and keep the pools, balances, buckets and budgets. Locks are held for single
+//! steps of the pure state machines, never across a wait.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::Instant;
+
+use crate::balance::Balance;
+use crate::budget::{RepeatBudget, RepeatRules};
+use crate::edge::{Dialect, Directory};
+use crate::metrics::Metrics;
+use crate::pool::{Ask, Decision, DecodeEnd, Pool, Ticket};
+use crate::quota::{Quota, Share};
+use crate::roster::{Roster, Upstream};
+use crate::site::Site;
+
+/// Time since the last word from the store or a peer after which a host may be behind.
+/// Twice the longest wait of a watch.
+const CURRENT_TIME: Duration = Duration::from_millis(3_500);
+
+/// Settings of a router.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// Name of the host.
+    pub host: Arc<str>,
+    /// Its data centre.
+    pub zone: Arc<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the host takes callers.
+    pub readiness: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Where peers connect.
+    pub peers: SocketAddr,
+    /// Traffic threads.
+    pub threads: usize,
+    /// Whether no host has run before.
+    pub first_start: bool,
+    /// Longest time of a graceful shutdown.
+    pub grace: Duration,
+    /// Bounds on repeats.
+    pub repeats: RepeatRules,
+    /// Tokens that all hosts together may admit early.
+    pub quota_slack: f64,
+}
+
+/// State of one host.
+pub struct Router {
+    /// Settings.
+    pub settings: RouterSettings,
+    /// Wire format.
+    pub dialect: Arc<dyn Dialect>,
+    /// Store.
+    pub directory: Arc<dyn Directory>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Tells that the host is stopping.
+    pub stopping: watch::Sender<StopPhase>,
+    site: RwLock<Option<Arc<Site>>>,
+    heard: Mutex<Option<Instant>>,
+    share: Mutex<Share>,
+    roster: Mutex<Roster>,
+    balances: Mutex<HashMap<Arc<str>, Balance>>,
+    pools: Mutex<Pools>,
+    queued: Notify,
+    quota: Mutex<Quota>,
+    budgets: Mutex<HashMap<Arc<str>, RepeatBudget>>,
+    tickets: AtomicU64,
+    ready: AtomicBool,
+}
+
+/// How far a graceful shutdown has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// The host runs.
+    Running,
+    /// It tells the balancer that it leaves, and still takes callers.
+    Leaving,
+    /// It takes nothing new and finishes what it has.
+    Finishing,
+}
+
+#[derive(Default)]
+struct Pools {
+    pools: HashMap<Arc<str>, Pool>,
+    waiters: HashMap<Ticket, Waiter>,
+}
+
+struct Waiter {
+    need: u64,
+    reply: oneshot::Sender<Result<Arc<Upstream>, Duration>>,
+}
+
+impl Router {
+    /// A host that knows nothing yet.
+    pub fn new(
+        settings: RouterSettings,
+        dialect: Arc<dyn Dialect>,
+        directory: Arc<dyn Directory>,
+    ) -> Self {
+        let quota = Quota::new(settings.quota_slack, settings.first_start);
+        Self {
+            settings,
+            dialect,
+            directory,
+            metrics: Metrics::new(),
+            stopping: watch::channel(StopPhase::Running).0,
+            site: RwLock::new(None),
+            heard: Mutex::new(None),
+            share: Mutex::new(Share { heard: 1, hosts: 1 }),
+            roster: Mutex::new(Roster::default()),
+            balances: Mutex::default(),
+            pools: Mutex::default(),
+            queued: Notify::new(),
+            quota: Mutex::new(quota),
+            budgets: Mutex::default(),
+            tickets: AtomicU64::new(1),
+            ready: AtomicBool::new(false),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn site(&self) -> Option<Arc<Site>> {
+        self.site.read().unwrap_or_else(|error| error.into_inner()).clone()
+    }
+
+    /// Puts a configuration in force, unless a later one is.
+    pub fn set_site(&self, site: Arc<Site>) -> bool {
+        let mut slot = self.site.write().unwrap_or_else(|error| error.into_inner());
+        if slot.as_ref().is_some_and(|present| present.version >= site.version) {
+            return false;
+        }
+        self.metrics.known("configuration", site.version);
+        *slot = Some(site);
+        drop(slot);
+        self.apply_upstreams(Instant::now());
+        true
+    }
+
+    /// Takes note that the store, or a peer that hears it, has told all it knows.
+    pub fn mark_current(&self, now: Instant) {
+        *lock(&self.heard) = Some(now);
+    }
+
+    /// Whether the configuration in force is the newest one, for all that is known.
+    pub fn is_current(&self, now: Instant) -> bool {
+        lock(&self.heard).is_some_and(|at| now.duration_since(at) < CURRENT_TIME)
+    }
+
+    /// Whether the host takes callers.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed) && *self.stopping.borrow() == StopPhase::Running
+    }
+
+    /// Says that the host takes callers.
+    pub fn set_ready(&self) -> bool {
+        !self.ready.swap(true, Ordering::Relaxed)
+    }
+
+    /// The part of all limits that this host may use.
+    pub fn share(&self) -> Share {
+        *lock(&self.share)
+    }
+
+    /// Changes the part of all limits; true if it is another.
+    pub fn set_share(&self, share: Share) -> bool {
+        let old = std::mem::replace(&mut *lock(&self.share), share);
+        old != share
+    }
+
+    /// Changes the list of upstreams and tells pools and balances.
+    pub fn update_roster<T>(&self, now: Instant, change: impl FnOnce(&mut Roster) -> T) -> T {
+        let result = change(&mut lock(&self.roster));
+        self.apply_upstreams(now);
+        result
+    }
+
+    /// When the list of upstreams has to be looked at again.
+    pub fn roster_due(&self) -> Option<Instant> {
+        lock(&self.roster).due()
+    }
+
+    fn apply_upstreams(&self, now: Instant) {
+        let Some(site) = self.site() else { return };
+        let mut lists: HashMap<Arc<str>, Vec<Arc<Upstream>>> = HashMap::new();
+        for upstream in lock(&self.roster).usable() {
+            lists.entry(upstream.service.clone()).or_default().push(upstream.clone());
+        }
+        let hosts = self.share().hosts;
+        for (name, service) in &site.services {
+            let list = lists.remove(name).unwrap_or_default();
+            match service.engine {
+                Some(size) => {
+                    let mut pools = lock(&self.pools);
+                    let fresh = || Pool::new(size, self.settings.zone.clone());
+                    let pool = pools.pools.entry(name.clone()).or_insert_with(fresh);
+                    pool.replace(&list, size, hosts);
+                }
+                None => lock(&self.balances).entry(name.clone()).or_default().replace(&list),
+            }
+        }
+        self.decide(now);
+    }
+
+    /// Works on the servers of a plain service.
+    pub fn with_balance<T>(&self, service: &str, f: impl FnOnce(&mut Balance) -> T) -> Option<T> {
+        lock(&self.balances).get_mut(service).map(f)
+    }
+
+    /// Works on the engines of a service.
+    pub fn with_pool<T>(&self, service: &str, f: impl FnOnce(&mut Pool) -> T) -> Option<T> {
+        lock(&self.pools).pools.get_mut(service).map(f)
+    }
+
+    /// Works on all pools.
+    pub fn each_pool(&self, mut f: impl FnMut(&mut Pool)) {
+        lock(&self.pools).pools.values_mut().for_each(&mut f);
+    }
+
+    /// Works on the buckets.
+    pub fn with_quota<T>(&self, f: impl FnOnce(&mut Quota) -> T) -> T {
+        f(&mut lock(&self.quota))
+    }
+
+    /// Counts a caller's request to a service.
+    pub fn count_request(&self, now: Instant, service: &Arc<str>) {
+        self.with_budget(service, |budget| budget.request(now));
+    }
+
+    /// Takes one repeat to a service.
+    pub fn take_repeat(&self, now: Instant, service: &Arc<str>) -> bool {
+        let hosts = self.share().hosts;
+        let taken = self.with_budget(service, |budget| budget.take(now, hosts));
+        if !taken {
+            log::debug!("call: no repeat left for service={service}");
+        }
+        taken
+    }
+
+    fn with_budget<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
+        let mut budgets = lock(&self.budgets);
+        let fresh = || RepeatBudget::new(self.settings.repeats);
+        f(budgets.entry(service.clone()).or_insert_with(fresh))
+    }
+
+    /// Waits for a decode engine; an error tells when to come back.
+    pub async fn place(&self, service: &str, ask: PlaceAsk) -> Result<Arc<Upstream>, Duration> {
+        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let (reply, answer) = oneshot::channel();
+        {
+            let mut pools = lock(&self.pools);
+            let Some(pool) = pools.pools.get_mut(service) else { return Err(Duration::ZERO) };
+            let PlaceAsk { need, prompt, due, patience, again } = ask;
+            let waiting = Ask { ticket, need, prompt, due, patience };
+            if again {
+                pool.push_front(waiting)
+            } else {
+                pool.push(waiting)
+            }
+            pools.waiters.insert(ticket, Waiter { need, reply });
+        }
+        let mut queued = Queued { router: self, service, ticket, need: ask.need, answer };
+        self.decide(Instant::now());
+        self.queued.notify_one();
+        (&mut queued.answer).await.unwrap_or(Err(Duration::ZERO))
+    }
+
+    /// Frees what a request held at an engine.
+    pub fn release(&self, service: &str, engine: &str, need: u64, end: DecodeEnd) {
+        let now = Instant::now();
+        self.with_pool(service, |pool| pool.release(now, engine, need, end));
+        self.decide(now);
+    }
+
+    /// Tells waiting requests what has been decided.
+    pub fn decide(&self, now: Instant) {
+        let mut pools = lock(&self.pools);
+        let Pools { pools, waiters } = &mut *pools;
+        for pool in pools.values_mut() {
+            // A caller may have left in the meantime; its place goes to the next.
+            loop {
+                let mut unclaimed = false;
+                for decision in pool.decide(now) {
+                    unclaimed |= !deliver(now, pool, waiters, decision);
+                }
+                if !unclaimed {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Decides again and again while requests wait.
+    pub async fn keep_deciding(&self) {
+        /// Time between two looks at the queues; short against an event of 50 ms.
+        const LOOK: Duration = Duration::from_millis(15);
+        loop {
+            self.queued.notified().await;
+            while lock(&self.pools).pools.values().any(Pool::is_waiting) {
+                tokio::time::sleep(LOOK).await;
+                self.decide(Instant::now());
+            }
+        }
+    }
+
+    fn cancel(&self, service: &str, ticket: Ticket) {
+        let mut pools = lock(&self.pools);
+        pools.waiters.remove(&ticket);
+        if let Some(pool) = pools.pools.get_mut(service) {
+            pool.cancel(ticket);
+        }
+    }
+}
+
+/// What a request needs at a decode engine.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceAsk {
+    /// Memory, in tokens.
+    pub need: u64,
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// When the first event should reach the caller.
+    pub due: Instant,
+    /// When the caller gives up, if nothing has come.
+    pub patience: Instant,
+    /// Whether it had a place before.
+    pub again: bool,
+}
+
+/// A request in a queue; a caller that leaves gives its place back.
+struct Queued<'a> {
+    router: &'a Router,
+    service: &'a str,
+    ticket: Ticket,
+    need: u64,
+    answer: oneshot::Receiver<Result<Arc<Upstream>, Duration>>,
+}
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        self.router.cancel(self.service, self.ticket);
+        // A place that was given but not taken; nothing is left of one that was taken.
+        if let Ok(Ok(engine)) = self.answer.try_recv() {
+            self.router.release(self.service, &engine.id, self.need, DecodeEnd::Cancelled);
+        }
+    }
+}
+
+/// Gives a decision to the request that waits for it; false if it waits no more.
+fn deliver(
+    now: Instant,
+    pool: &mut Pool,
+    waiters: &mut HashMap<Ticket, Waiter>,
+    decision: Decision,
+) -> bool {
+    match decision {
+        Decision::Place(ticket, engine) => {
+            let Some(waiter) = waiters.remove(&ticket) else { return false };
+            let (id, need) = (engine.id.clone(), waiter.need);
+            let sent = waiter.reply.send(Ok(engine)).is_ok();
+            if !sent {
+                pool.release(now, &id, need, DecodeEnd::Cancelled);
+            }
+            sent
+        }
+        Decision::Refuse(ticket, retry) => {
+            if let Some(waiter) = waiters.remove(&ticket) {
+                // A caller that has left needs no answer.
+                let _ = waiter.reply.send(Err(retry));
+            }
+            true
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|error| error.into_inner())
+}
--- /dev/null
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -0,0 +1,233 @@
+//! Runs a router as a process: threads, listeners and graceful shutdown.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime;
+use tokio::time::Instant;
+
+use crate::call;
+use crate::control;
+use crate::router::{Router, StopPhase};
+
+/// Time during which a stopping host still takes callers: two questions of the balancer,
+/// one second apart, and some slack.
+const NOTICE: Duration = Duration::from_millis(2_600);
+/// Time before the end of the grace in which streams are cut, so that callers hear of it.
+const CUT_MARGIN: Duration = Duration::from_millis(400);
+/// Time between looks at what is still open.
+const LOOK: Duration = Duration::from_millis(50);
+/// Least size that hyper accepts for a head.
+const MIN_HEADER_BYTES: usize = 8 << 10;
+/// Longest time for a request to the readiness or metrics address.
+const CONTROL_TIME: Duration = Duration::from_secs(5);
+/// Idle time beyond what callers are promised, so that a request that is on its way when
+/// the promise ends is still read.
+const IDLE_SLACK: Duration = Duration::from_millis(1_500);
+
+/// A process that cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// A listener cannot be opened.
+    #[error("listen for {part} on {address}: {error}")]
+    Listen {
+        /// Who would connect.
+        part: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What went wrong.
+        error: io::Error,
+    },
+    /// Threads cannot be started.
+    #[error("start threads: {0}")]
+    Threads(#[from] io::Error),
+}
+
+/// Runs a router until `stop` is done and what it has is finished.
+pub fn run<F>(router: Arc<Router>, stop: impl FnOnce() -> F) -> Result<(), StartError>
+where
+    F: Future<Output = ()>,
+{
+    let traffic = runtime::Builder::new_multi_thread()
+        .worker_threads(router.settings.threads.max(1))
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    let control = runtime::Builder::new_current_thread().enable_all().build()?;
+    let open = Arc::new(AtomicUsize::new(0));
+    let callers = control.block_on(listen("callers", router.settings.callers))?;
+    traffic.spawn(accept(router.clone(), callers, open.clone()));
+    let deciding = router.clone();
+    traffic.spawn(async move { deciding.keep_deciding().await });
+    control.block_on(async {
+        let readiness = listen("readiness", router.settings.readiness).await?;
+        let metrics = listen("metrics", router.settings.metrics).await?;
+        tokio::spawn(serve_control(router.clone(), readiness, ready));
+        tokio::spawn(serve_control(router.clone(), metrics, measures));
+        tokio::spawn(control::follow(router.clone()));
+        log::info!(
+            "server: started host={} zone={} callers={}",
+            router.settings.host,
+            router.settings.zone,
+            router.settings.callers,
+        );
+        stop().await;
+        shut_down(&router, &open).await;
+        Ok(())
+    })
+}
+
+/// Leaves the balancer, then finishes what is open.
+async fn shut_down(router: &Router, open: &AtomicUsize) {
+    let end = Instant::now() + router.settings.grace.saturating_sub(CUT_MARGIN);
+    log::info!("server: stopping open={}", open.load(Ordering::Relaxed));
+    router.stopping.send_replace(StopPhase::Leaving);
+    tokio::time::sleep(NOTICE.min(router.settings.grace / 2)).await;
+    router.stopping.send_replace(StopPhase::Finishing);
+    while open.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+        tokio::time::sleep(LOOK).await;
+    }
+    log::info!("server: stopped cut={}", open.load(Ordering::Relaxed));
+}
+
+async fn listen(part: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let failed = |error| StartError::Listen { part, address, error };
+    TcpListener::bind(address).await.map_err(failed)
+}
+
+async fn accept(router: Arc<Router>, listener: TcpListener, open: Arc<AtomicUsize>) {
+    let mut stopping = router.stopping.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|phase| *phase == StopPhase::Finishing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let (router, counted) = (router.clone(), Counted::new(open.clone()));
+                tokio::spawn(async move {
+                    serve_caller(router, stream).await;
+                    drop(counted);
+                });
+            }
+            Err(error) => {
+                log::warn!("server: no connection taken: {error}");
+                tokio::time::sleep(LOOK).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(router: Arc<Router>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("server: {error}");
+    }
+    let bounds = router.site().map(|site| site.bounds).unwrap_or_default();
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .max_buf_size(bounds.header_bytes.max(MIN_HEADER_BYTES))
+        // hyper counts the idle time before a head as part of it.
+        .header_read_timeout(bounds.idle_time.max(bounds.header_time) + IDLE_SLACK);
+    let mut stopping = router.stopping.subscribe();
+    let service = service_fn(move |request| answer(router.clone(), request));
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let finishing = async {
+        // The sender lives as long as the router, so this cannot fail.
+        let _ = stopping.wait_for(|phase| *phase == StopPhase::Finishing).await;
+    };
+    let ended = tokio::select! {
+        result = connection.as_mut() => Some(result),
+        () = finishing => None,
+    };
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("server: connection ended: {error}");
+    }
+}
+
+async fn answer(
+    router: Arc<Router>,
+    request: Request<Incoming>,
+) -> Result<Response<crate::relay::AnswerBody>, Infallible> {
+    let leaving = *router.stopping.borrow() != StopPhase::Running;
+    let mut response = call::handle(router.clone(), request).await?;
+    if leaving || *router.stopping.borrow() != StopPhase::Running {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+type Page = fn(&Router) -> (StatusCode, String);
+
+fn ready(router: &Router) -> (StatusCode, String) {
+    if router.is_ready() {
+        return (StatusCode::OK, String::new());
+    }
+    (StatusCode::SERVICE_UNAVAILABLE, String::new())
+}
+
+fn measures(router: &Router) -> (StatusCode, String) {
+    (StatusCode::OK, router.metrics.text())
+}
+
+/// Answers every request to an address with one page.
+async fn serve_control(router: Arc<Router>, listener: TcpListener, page: Page) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        };
+        let router = router.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|_request| {
+                let (status, text) = page(&router);
+                let mut response = Response::new(Full::new(Bytes::from(text)));
+                *response.status_mut() = status;
+                async { Ok::<_, Infallible>(response) }
+            });
+            let mut builder = http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(CONTROL_TIME);
+            if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+                log::debug!("server: control connection ended: {error}");
+            }
+        });
+    }
+}
+
+/// Counts open connections.
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(open: Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/rosemarypitch-gateway/src/claims.rs
+++ b/crates/rosemarypitch-gateway/src/claims.rs
@@ -7,7 +7,7 @@
 use rosemarypitch_limit::HostId;
 use rosemarypitch_once::{ClaimAsk, ClaimReply, Shard, shard_of};
 use rosemarypitch_peer::{Ask, Link, Reply};
-use rosemarypitch_platform::Store;
+use rosemarypitch_store::Store;
 use tokio::runtime;
 use tokio::sync::watch;
 
--- a/crates/rosemarypitch-gateway/src/keeper.rs
+++ b/crates/rosemarypitch-gateway/src/keeper.rs
@@ -15,7 +15,7 @@
 use rosemarypitch_config::{Digest, Document, Patch, PatchError, Snapshot};
 use rosemarypitch_limit::rank;
 use rosemarypitch_peer::{Ask, Link, Reply};
-use rosemarypitch_platform::{Entry, Store, StoreError, Swap, Version};
+use rosemarypitch_store::{Entry, Store, StoreError, Swap, Version};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
--- a/crates/rosemarypitch-gateway/src/membership.rs
+++ b/crates/rosemarypitch-gateway/src/membership.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use rosemarypitch_peer::{Ask, Beat, Change, Link, Members, Reply, Sighting};
-use rosemarypitch_platform::Store;
+use rosemarypitch_store::Store;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
--- a/crates/rosemarypitch-gateway/src/metrics.rs
+++ b/crates/rosemarypitch-gateway/src/metrics.rs
@@ -96,7 +96,7 @@
             ),
             late_frames,
             platform: counters(
-                "rosemarypitch_platform_calls_total",
+                "rosemarypitch_store_calls_total",
                 "Platform calls by step and outcome",
                 &["step", "outcome"],
             ),
--- a/crates/rosemarypitch-gateway/src/server.rs
+++ b/crates/rosemarypitch-gateway/src/server.rs
@@ -14,7 +14,7 @@
 use rosemarypitch_config::{Listener, Settings};
 use rosemarypitch_limit::HostId;
 use rosemarypitch_peer::{Link, PeerServer, Peers, Traffic};
-use rosemarypitch_platform::HttpStore;
+use rosemarypitch_store::HttpStore;
 use rosemarypitch_upstream::{Client, HttpEngines, Services};
 use slog::Drain;
 use tokio::io::{AsyncRead, AsyncWrite};
--- a/crates/rosemarypitch-gateway/src/shares.rs
+++ b/crates/rosemarypitch-gateway/src/shares.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use rosemarypitch_limit::{HostId, ShareRecord, Tenure, TenureStep};
-use rosemarypitch_platform::{Store, StoreError, Swap};
+use rosemarypitch_store::{Store, StoreError, Swap};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
--- a/crates/rosemarypitch-once/src/shard.rs
+++ b/crates/rosemarypitch-once/src/shard.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rosemarypitch_platform::{Entry, Store, StoreError, Swap, Version};
+use rosemarypitch_store::{Entry, Store, StoreError, Swap, Version};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/rosemarypitch-once/tests/history.rs
+++ b/crates/rosemarypitch-once/tests/history.rs
@@ -10,8 +10,8 @@
 use rosemarypitch_once::{
     Answer, ClaimAsk, ClaimReply, RETAINED_WINDOWS, SHARDS, Shard, WINDOW_TIME, shard_of,
 };
-use rosemarypitch_platform::Store;
 use rosemarypitch_standin::{MemoryStore, PortFaults};
+use rosemarypitch_store::Store;
 use tokio::runtime;
 
 /// An event of a run.
--- a/crates/rosemarypitch-standin/src/store.rs
+++ b/crates/rosemarypitch-standin/src/store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rosemarypitch_platform::{Call, Entry, ErrorKind, Store, StoreError, Swap, Version};
+use rosemarypitch_store::{Call, Entry, ErrorKind, Store, StoreError, Swap, Version};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::Instant;
--- a/crates/rosemarypitch-standin/src/store_http.rs
+++ b/crates/rosemarypitch-standin/src/store_http.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use rosemarypitch_platform::{Entry, ErrorKind, Store, StoreError, Swap, wire};
+use rosemarypitch_store::{Entry, ErrorKind, Store, StoreError, Swap, wire};
 use tokio::net::TcpListener;
 
 use crate::http::{self as server, Dropped, Reply};
--- a/crates/rosemarypitch-standin/tests/contracts.rs
+++ b/crates/rosemarypitch-standin/tests/contracts.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use prometheus::{IntCounterVec, Opts};
-use rosemarypitch_platform::{ErrorKind as StoreErrorKind, HttpStore, Store, Swap};
 use rosemarypitch_route::AttemptId;
 use rosemarypitch_standin::{
     Engine, EngineShape, MemoryStore, serve_engine, serve_store, token_text,
 };
+use rosemarypitch_store::{ErrorKind as StoreErrorKind, HttpStore, Store, Swap};
 use rosemarypitch_upstream::wire::{Command, DecodeAsk, Order, PrefillAsk};
 use rosemarypitch_upstream::{Client, EngineAddress, Engines, ErrorKind, Frame, HttpEngines};
 use tokio::net::TcpListener;
--- a/crates/rosemarypitch/src/cli.rs
+++ b/crates/rosemarypitch/src/cli.rs
@@ -37,6 +37,8 @@
 pub enum Command {
     /// Run an entry host.
     Serve(SettingsOptions),
+    /// Run a router on the operators' platform.
+    Router(RouterOptions),
     /// Say what is wrong with a settings file.
     Check(SettingsOptions),
     /// Run a stand-in for a system around the router.
@@ -86,6 +88,20 @@
     pub overrides: Vec<String>,
 }
 
+/// Options of a router.
+#[derive(Args, Debug)]
+pub struct RouterOptions {
+    /// The platform's settings file; by default the one that the environment names.
+    #[arg(long)]
+    pub settings: Option<PathBuf>,
+    /// Least severe level that is logged.
+    #[arg(long, default_value = "info")]
+    pub log: String,
+    /// Only say what is wrong with the settings.
+    #[arg(long)]
+    pub check: bool,
+}
+
 /// Stand-ins.
 #[derive(Debug, Subcommand)]
 pub enum StandinCommand {
--- a/crates/rosemarypitch/src/failure.rs
+++ b/crates/rosemarypitch/src/failure.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use rosemarypitch_config::Faults;
+use rosemarypitch_forward::serve::StartError;
 use rosemarypitch_gateway::ServeError;
 
 /// Why a command failed.
@@ -33,6 +34,9 @@
     /// The process cannot run.
     #[error(transparent)]
     Serve(#[from] ServeError),
+    /// The router cannot run.
+    #[error(transparent)]
+    Start(#[from] StartError),
     /// Something of the system failed.
     #[error("{0}")]
     System(String),
@@ -46,7 +50,7 @@
             Self::Refused { status: 412, .. } => 5,
             Self::Refused { .. } => 3,
             Self::Unreachable(..) => 4,
-            Self::File(..) | Self::Serve(_) | Self::System(_) => 1,
+            Self::File(..) | Self::Serve(_) | Self::Start(_) | Self::System(_) => 1,
         };
         ExitCode::from(code)
     }
--- a/crates/rosemarypitch/src/main.rs
+++ b/crates/rosemarypitch/src/main.rs
@@ -11,6 +11,7 @@
 mod logging;
 mod operate;
 mod plot;
+mod router;
 mod run;
 mod standin;
 
@@ -35,6 +36,7 @@
 fn dispatch(cli: Cli) -> Result<(), Failure> {
     match cli.command {
         Command::Serve(settings) => run::serve(&settings),
+        Command::Router(options) => router::run(&options),
         Command::Check(settings) => run::check(&settings),
         Command::Standin(kind) => standin::run(kind),
         Command::Demo(options) => demo::run(&options),
--- /dev/null
+++ b/crates/rosemarypitch/src/router.rs
@@ -0,0 +1,68 @@
+//! Runs a router on the operators' platform.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use rosemarypitch_forward::{Router, serve};
+use rosemarypitch_platform::boot::{Boot, PATH_VARIABLE};
+use rosemarypitch_platform::kv::Kv;
+use rosemarypitch_platform::wire::Wire;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::cli::RouterOptions;
+use crate::failure::Failure;
+use crate::logging;
+
+/// Runs a router until SIGTERM or SIGINT, or says what is wrong with its settings.
+pub fn run(options: &RouterOptions) -> Result<(), Failure> {
+    let path =
+        options.settings.clone().or_else(|| std::env::var_os(PATH_VARIABLE).map(PathBuf::from));
+    let path = path.ok_or_else(|| {
+        Failure::Usage(format!("no settings file: give --settings or set {PATH_VARIABLE}"))
+    })?;
+    let boot = read(&path)?;
+    if options.check {
+        println!("{}: good; host {}", path.display(), boot.router.host);
+        return Ok(());
+    }
+    logging::start_bounded(&options.log)?;
+    log::info!("server: settings file={} {:?}", path.display(), boot);
+    let directory = Arc::new(Kv::new(boot.store));
+    let router = Arc::new(Router::new(boot.router, Arc::new(Wire), directory));
+    serve::run(router, || stop(path))?;
+    logging::flush();
+    Ok(())
+}
+
+fn read(path: &Path) -> Result<Boot, Failure> {
+    let text = fs::read_to_string(path).map_err(|error| Failure::File(path.to_owned(), error))?;
+    Boot::parse(&text).map_err(|error| Failure::Usage(format!("{}: {error}", path.display())))
+}
+
+/// Waits for a signal to stop; a changed settings file is read when the host starts again.
+async fn stop(path: PathBuf) {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
+    );
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = signals else {
+        log::error!("server: signals cannot be taken; only a kill ends this process");
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = hangup.recv() => reload(&path),
+        }
+    }
+}
+
+fn reload(path: &Path) {
+    match read(path) {
+        Ok(boot) => log::info!("server: settings reloaded {boot:?}"),
+        Err(error) => log::error!("server: settings not reloaded: {error}"),
+    }
+}
