Share limits over hosts: reports between hosts, entries under leases

Ruled out: static division (a host that gets more than its part of the callers refuses within the limit); a holder a customer (a call a request, refusals while a holder is lost). Entries under leases say who there is.

--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -9,7 +9,10 @@
 
 use tokio::time::Instant;
 
+use tokio::sync::oneshot;
+
 use crate::edge::{DirectoryError, Fact, Facts};
+use crate::gossip::{self, Gossip};
 use crate::roster::Upstream;
 use crate::router::Router;
 
@@ -22,8 +25,18 @@
 const MAX_PAUSE: Duration = Duration::from_millis(600);
 
 /// Follows the store until the process ends.
-pub async fn follow(router: Arc<Router>) {
-    let mut follower = Follower { router, outage: false, pause: FIRST_PAUSE, revision: 0 };
+///
+/// `secret` gets the secret that the hosts share, once it is known.
+pub async fn follow(router: Arc<Router>, gossip: Arc<Gossip>, secret: oneshot::Sender<Arc<str>>) {
+    let mut follower = Follower {
+        router,
+        gossip,
+        secret: Some(secret),
+        outage: false,
+        pause: FIRST_PAUSE,
+        revision: 0,
+        reread: None,
+    };
     loop {
         if follower.read().await {
             follower.watch().await;
@@ -34,10 +47,14 @@
 
 struct Follower {
     router: Arc<Router>,
+    gossip: Arc<Gossip>,
+    secret: Option<oneshot::Sender<Arc<str>>>,
     /// Whether calls to the store have failed since the last whole list.
     outage: bool,
     pause: Duration,
     revision: u64,
+    /// When the hosts whose entries lapsed in an outage are looked at again.
+    reread: Option<Instant>,
 }
 
 impl Follower {
@@ -61,21 +78,45 @@
             facts.facts.into_iter().partition(|fact| matches!(fact, Fact::Upstream(_)));
         let upstreams = upstreams.into_iter().filter_map(upstream).collect();
         let outage = std::mem::take(&mut self.outage);
+        let hosts: Vec<Arc<str>> = rest.iter().filter_map(host).collect();
         for fact in rest {
             self.apply(now, fact);
         }
+        // Entries of hosts lapse in an outage like those of upstreams, and a host that is
+        // counted for too long costs less than one that is not counted.
+        if outage {
+            self.reread = Some(now + gossip::ENTRY_TIME);
+        } else {
+            self.reread = None;
+            self.gossip.keep_hosts(&hosts);
+        }
         self.router.update_roster(now, |roster| roster.replace(now, upstreams, outage));
         self.router.mark_current(now);
         self.revision = facts.revision;
         self.pause = FIRST_PAUSE;
         self.note_ready();
+        self.propose_secret().await;
         true
     }
 
+    /// Proposes a secret if there is none; the watch tells whose was first.
+    async fn propose_secret(&self) {
+        if self.secret.is_none() {
+            return;
+        }
+        if let Err(error) = self.router.directory.propose_secret(&gossip::new_secret()).await {
+            log::info!("control: no secret proposed: {error}");
+        }
+    }
+
     /// Watches until the store is lost or has dropped its history.
     async fn watch(&mut self) {
         loop {
             let now = Instant::now();
+            if self.reread.is_some_and(|at| at <= now) {
+                self.pause = Duration::ZERO;
+                return;
+            }
             let due = self.router.roster_due().map(|due| due.saturating_duration_since(now));
             let wait = due.unwrap_or(WATCH_WAIT).min(WATCH_WAIT);
             let result = self.router.directory.watch(self.revision, wait).await;
@@ -133,7 +174,14 @@
                 log::info!("control: upstream entry gone upstream={id}");
                 self.router.update_roster(now, |roster| roster.remove(now, &id));
             }
-            Fact::Host(..) | Fact::NoHost(_) | Fact::Secret(_) => {}
+            Fact::Host(host, entry) => self.gossip.put_host(host, &entry),
+            Fact::NoHost(host) => self.gossip.remove_host(&host),
+            Fact::Secret(secret) => {
+                if let Some(taken) = self.secret.take() {
+                    // The receiver is gone only when the process ends.
+                    let _ = taken.send(secret);
+                }
+            }
         }
     }
 
@@ -161,3 +209,10 @@
         _ => None,
     }
 }
+
+fn host(fact: &Fact) -> Option<Arc<str>> {
+    match fact {
+        Fact::Host(host, _) => Some(host.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -0,0 +1,220 @@
+//! Exchanges with the other hosts, and this host's entry in the store.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use rosemarypitch_limit::HostId;
+use rosemarypitch_peer::{
+    Ask, Handler, HandlerCall, HostReport, Link, PeerServer, Peers, Reply, Traffic,
+};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+use crate::neighbours::Neighbours;
+use crate::quota::Share;
+use crate::router::Router;
+
+/// Time for which a host's entry outlives the host's last word to the store. Longer than
+/// cuts usually last, so that a host that is cut off keeps the share that it still uses.
+pub const ENTRY_TIME: Duration = Duration::from_secs(15);
+/// Time between renewals of the entry; three may be missed.
+const RENEWAL: Duration = Duration::from_secs(4);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time for an exchange with a host.
+const EXCHANGE_TIME: Duration = Duration::from_millis(300);
+/// Length of the secret that a host proposes, in random 64-bit words.
+const SECRET_WORDS: usize = 4;
+
+/// What a host knows of the others.
+pub struct Gossip {
+    router: Arc<Router>,
+    id: HostId,
+    neighbours: Mutex<Neighbours>,
+    /// Hosts with which an exchange is under way.
+    asking: Mutex<HashSet<Arc<str>>>,
+}
+
+impl Gossip {
+    /// A host that knows no other.
+    pub fn new(router: Arc<Router>) -> Arc<Self> {
+        let host = router.settings.host.clone();
+        let id = HostId { host: host.clone(), incarnation: incarnation() };
+        let neighbours = Mutex::new(Neighbours::new(host));
+        Arc::new(Self { router, id, neighbours, asking: Mutex::default() })
+    }
+
+    /// Takes a host's entry.
+    pub fn put_host(&self, host: Arc<str>, entry: &[u8]) {
+        let address = std::str::from_utf8(entry).ok().and_then(|text| text.parse().ok());
+        match address {
+            Some(address) => self.lock().put(host, address),
+            None => log::warn!("peers: entry of host={host} is no address"),
+        }
+        self.update_share(Instant::now());
+    }
+
+    /// Takes note that a host's entry has lapsed.
+    pub fn remove_host(&self, host: &str) {
+        let now = Instant::now();
+        self.lock().remove(now, host);
+        self.update_share(now);
+    }
+
+    /// Takes the whole list of hosts.
+    pub fn keep_hosts(&self, present: &[Arc<str>]) {
+        let names: Vec<Arc<str>> = self.lock().names().cloned().collect();
+        for name in names.iter().filter(|name| !present.contains(name)) {
+            self.remove_host(name);
+        }
+    }
+
+    /// Serves and asks the other hosts until the process ends.
+    pub async fn run(self: Arc<Self>, listener: TcpListener, secret: Arc<str>) {
+        let traffic = Arc::new(Traffic::default());
+        let server = Arc::new(PeerServer {
+            id: self.id.clone(),
+            secret: secret.clone(),
+            traffic: traffic.clone(),
+            handler: self.clone(),
+        });
+        tokio::spawn(async move {
+            if let Err(error) = server.run(listener).await {
+                log::error!("peers: no more connections are taken: {error}");
+            }
+        });
+        let peers = Arc::new(Peers::new(self.id.clone(), secret, traffic));
+        loop {
+            let (asks, interval) = {
+                let neighbours = self.lock();
+                (neighbours.to_ask(), neighbours.interval())
+            };
+            for (host, address) in asks {
+                if lock(&self.asking).insert(host.clone()) {
+                    tokio::spawn(exchange(self.clone(), peers.clone(), host, address));
+                }
+            }
+            tokio::time::sleep(interval).await;
+            self.update(Instant::now());
+        }
+    }
+
+    /// Keeps this host's entry in the store until the process ends.
+    pub async fn announce(self: Arc<Self>) {
+        let mut lease = None;
+        loop {
+            let pause = match self.renew(lease).await {
+                Ok(renewed) => {
+                    lease = Some(renewed);
+                    RENEWAL
+                }
+                Err(error) => {
+                    log::info!("peers: entry not renewed: {error}");
+                    RETRY_PAUSE
+                }
+            };
+            tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.0))).await;
+        }
+    }
+
+    async fn renew(&self, lease: Option<u64>) -> Result<u64, crate::edge::DirectoryError> {
+        let directory = &self.router.directory;
+        if let Some(lease) = lease
+            && directory.keep(lease).await?
+        {
+            return Ok(lease);
+        }
+        let lease = directory.lease(ENTRY_TIME).await?;
+        let entry = Bytes::from(self.router.settings.peers.to_string());
+        directory.announce(&self.router.settings.host, entry, lease).await?;
+        log::info!("peers: entry written lease={lease}");
+        Ok(lease)
+    }
+
+    fn report(&self) -> HostReport {
+        let incarnation = self.id.incarnation;
+        let mut report = HostReport { incarnation, ..HostReport::default() };
+        self.router.with_quota(|quota| {
+            report.admitted = quota.admitted().map(|(name, n)| (name.clone(), n)).collect();
+        });
+        self.router.each_pool(|pool| {
+            let uses = pool.own().map(|(id, own)| (id.clone(), own.slots, own.tokens));
+            report.uses.extend(uses);
+        });
+        report
+    }
+
+    fn take(&self, from: &Arc<str>, report: HostReport, hears: bool) {
+        let now = Instant::now();
+        let admitted = self.lock().take(now, from, report, hears);
+        let Some(site) = self.router.site() else { return };
+        let share = self.router.share();
+        self.router.with_quota(|quota| {
+            for (customer, tokens) in admitted {
+                if let Some(customer) = site.customers.get(&customer) {
+                    quota.heard(now, customer, share, tokens);
+                }
+            }
+        });
+    }
+
+    fn update(&self, now: Instant) {
+        self.update_share(now);
+        let uses = self.lock().uses(now);
+        self.router.each_pool(|pool| pool.set_foreign(&uses));
+        self.router.decide(now);
+    }
+
+    fn update_share(&self, now: Instant) {
+        let share = self.lock().share(now);
+        if self.router.set_share(share) {
+            let Share { heard, hosts } = share;
+            log::info!("peers: share changed heard={heard} hosts={hosts}");
+            self.router.metrics.known("hosts", hosts as u64);
+            self.router.metrics.known("hosts_heard", heard as u64);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Neighbours> {
+        lock(&self.neighbours)
+    }
+}
+
+impl Handler for Gossip {
+    fn handle<'a>(&'a self, from: &'a HostId, ask: Ask) -> HandlerCall<'a> {
+        Box::pin(async move {
+            let Ask::Report { report, hears } = ask else { return Reply::NotOwner };
+            self.take(&from.host, report, hears);
+            Reply::Report(self.report())
+        })
+    }
+}
+
+async fn exchange(gossip: Arc<Gossip>, peers: Arc<Peers>, host: Arc<str>, address: SocketAddr) {
+    let hears = gossip.lock().hears(Instant::now(), &host);
+    let ask = Ask::Report { report: gossip.report(), hears };
+    match peers.call(address, &ask, EXCHANGE_TIME).await {
+        Ok(Reply::Report(report)) => gossip.take(&host, report, true),
+        Ok(_) => log::warn!("peers: unexpected reply from host={host}"),
+        Err(error) => log::debug!("peers: {error}"),
+    }
+    lock(&gossip.asking).remove(&host);
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|error| error.into_inner())
+}
+
+/// A secret for the hosts to share.
+pub fn new_secret() -> String {
+    let words = std::iter::repeat_with(rand::random::<u64>).take(SECRET_WORDS);
+    words.map(|word| format!("{word:016x}")).collect()
+}
+
+/// Tells runs of a host apart; runs need no order.
+fn incarnation() -> u64 {
+    rand::random()
+}
--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -18,10 +18,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::call;
 use crate::control;
+use crate::gossip::Gossip;
 use crate::router::{Router, StopPhase};
 
 /// Time during which a stopping host still takes callers: two questions of the balancer,
@@ -78,7 +80,16 @@
         let metrics = listen("metrics", router.settings.metrics).await?;
         tokio::spawn(serve_control(router.clone(), readiness, ready));
         tokio::spawn(serve_control(router.clone(), metrics, measures));
-        tokio::spawn(control::follow(router.clone()));
+        let peers = listen("peers", router.settings.peers).await?;
+        let gossip = Gossip::new(router.clone());
+        let (secret, known) = oneshot::channel();
+        tokio::spawn(control::follow(router.clone(), gossip.clone(), secret));
+        tokio::spawn(gossip.clone().announce());
+        tokio::spawn(async move {
+            if let Ok(secret) = known.await {
+                gossip.run(peers, secret).await;
+            }
+        });
         log::info!(
             "server: started host={} zone={} callers={}",
             router.settings.host,
--- a/crates/rosemarypitch-peer/src/lib.rs
+++ b/crates/rosemarypitch-peer/src/lib.rs
@@ -20,7 +20,7 @@
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL, decode, encode};
 pub use member::{Change, Member, Members, MembersRules};
 pub use message::{
-    Ask, Beat, BorrowAsk, BorrowItem, DebitAsk, DebitReply, Giveback, LoanReply, Note, PlaceAsk,
-    PlaceReply, PoolKey, Reply, Sighting,
+    Ask, Beat, BorrowAsk, BorrowItem, DebitAsk, DebitReply, Giveback, HostReport, LoanReply, Note,
+    PlaceAsk, PlaceReply, PoolKey, Reply, Sighting,
 };
 pub use server::{Handler, HandlerCall, PeerServer};
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -33,6 +33,13 @@
     Claim(ClaimAsk),
     /// Asks which of the receiver's attempts it no longer runs.
     Verify(Vec<AttemptId>),
+    /// Tells what the sender admitted and uses; the reply tells the same of the receiver.
+    Report {
+        /// The sender's report.
+        report: HostReport,
+        /// Whether the sender has had a report of the receiver lately.
+        hears: bool,
+    },
 }
 
 /// A reply.
@@ -52,12 +59,25 @@
     Claim(ClaimReply),
     /// Attempts that the peer no longer runs.
     Denied(Vec<AttemptId>),
+    /// What the peer admitted and uses.
+    Report(HostReport),
     /// Taken note.
     Done,
     /// The receiver does not own what was asked about.
     NotOwner,
 }
 
+/// What one run of a host admitted and uses.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostReport {
+    /// Which run of the host.
+    pub incarnation: u64,
+    /// Tokens admitted since it started, by customer.
+    pub admitted: Vec<(Arc<str>, u64)>,
+    /// Slots and tokens in use, by engine.
+    pub uses: Vec<(Arc<str>, u32, u64)>,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
