Let buckets hold what the platform tolerates of limits

Cause: a bucket of one second's rate holds two streams, and refuses the third although the window of 8 s has room.

--- a/crates/rosemarypitch-forward/src/quota.rs
+++ b/crates/rosemarypitch-forward/src/quota.rs
@@ -34,11 +34,36 @@
     }
 }
 
+/// What the platform tolerates of limits that are kept by many hosts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaRules {
+    /// Span of time in which admitted tokens are counted.
+    pub window: Duration,
+    /// Part of a limit that may be admitted beyond it in a window.
+    pub overrun: f64,
+    /// Tokens that may be admitted beyond that in a window.
+    pub allowance: f64,
+}
+
+impl QuotaRules {
+    /// Most tokens that a bucket holds.
+    fn capacity(self, limit: RateLimit, share: Share) -> f64 {
+        let tolerated = self.overrun * (limit.burst + limit.rate * self.window.as_secs_f64());
+        (limit.burst + tolerated + HELD_PART * self.allowance) * share.part()
+    }
+}
+
+/// Part of the allowance by which a full bucket exceeds the burst. A window sees what a
+/// bucket gains in it and what it held before, so a bucket may hold what is tolerated.
+const HELD_PART: f64 = 0.6;
+/// Part of the allowance that hosts may admit before a bucket holds it. What is left of the
+/// allowance covers what hosts admit before they hear of each other.
+const EARLY_PART: f64 = 0.2;
+
 /// Buckets of one host.
 #[derive(Debug)]
 pub struct Quota {
-    /// Tokens that all hosts together may admit early.
-    slack: f64,
+    rules: QuotaRules,
     /// Whether buckets start full: no host has admitted anything before.
     full: bool,
     buckets: HashMap<Arc<str>, Bucket>,
@@ -55,8 +80,8 @@
 
 impl Quota {
     /// Buckets that are all full, or all empty.
-    pub fn new(slack: f64, full: bool) -> Self {
-        Self { slack, full, buckets: HashMap::new() }
+    pub fn new(rules: QuotaRules, full: bool) -> Self {
+        Self { rules, full, buckets: HashMap::new() }
     }
 
     /// Takes tokens, or tells when there may be as many.
@@ -68,11 +93,11 @@
         tokens: u64,
     ) -> Result<(), Duration> {
         let Some(limit) = customer.limit else { return Ok(()) };
-        let slack = self.slack / share.hosts.max(1) as f64;
+        let early = self.rules.allowance * EARLY_PART / share.hosts.max(1) as f64;
+        let capacity = self.rules.capacity(limit, share);
         let bucket = self.bucket(now, &customer.name, limit, share);
-        let burst = limit.burst * share.part();
-        // A request larger than the burst passes a full bucket.
-        let need = (tokens as f64 - slack).min(burst).max(0.0);
+        // A request larger than the bucket passes a full one.
+        let need = (tokens as f64 - early).min(capacity).max(0.0);
         if bucket.level < need {
             let rate = (limit.rate * share.part()).max(1.0);
             let wait = Duration::from_secs_f64((need - bucket.level) / rate);
@@ -110,8 +135,8 @@
         limit: RateLimit,
         share: Share,
     ) -> &mut Bucket {
-        let part = share.part();
-        let start = if self.full { limit.burst * part } else { 0.0 };
+        let capacity = self.rules.capacity(limit, share);
+        let start = if self.full { capacity } else { 0.0 };
         let bucket = self.buckets.entry(name.clone()).or_insert_with(|| Bucket {
             limit,
             level: start,
@@ -119,8 +144,8 @@
             admitted: 0,
         });
         let time = now.saturating_duration_since(bucket.filled).as_secs_f64();
-        let gained = bucket.level + bucket.limit.rate * part * time;
-        bucket.level = gained.min(limit.burst * part);
+        let gained = bucket.level + bucket.limit.rate * share.part() * time;
+        bucket.level = gained.min(capacity);
         bucket.filled = now;
         bucket.limit = limit;
         bucket
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -18,7 +18,7 @@
 use crate::edge::{Dialect, Directory};
 use crate::metrics::Metrics;
 use crate::pool::{Ask, Decision, DecodeEnd, Pool, Ticket};
-use crate::quota::{Quota, Share};
+use crate::quota::{Quota, QuotaRules, Share};
 use crate::roster::{Roster, Upstream};
 use crate::site::Site;
 
@@ -49,8 +49,8 @@
     pub grace: Duration,
     /// Bounds on repeats.
     pub repeats: RepeatRules,
-    /// Tokens that all hosts together may admit early.
-    pub quota_slack: f64,
+    /// What is tolerated of limits.
+    pub quota: QuotaRules,
 }
 
 /// State of one host.
@@ -107,7 +107,7 @@
         dialect: Arc<dyn Dialect>,
         directory: Arc<dyn Directory>,
     ) -> Self {
-        let quota = Quota::new(settings.quota_slack, settings.first_start);
+        let quota = Quota::new(settings.quota, settings.first_start);
         Self {
             settings,
             dialect,
