Queue model requests by cost, refuse by forecast, count memory by the caller's guess

Cause: the largest possible output was reserved, so engines stood half empty; first come first served spends bursts on long outputs; hopeless requests waited and then were refused.

--- a/crates/rosemarypitch-forward/src/edge.rs
+++ b/crates/rosemarypitch-forward/src/edge.rs
@@ -35,6 +35,8 @@
     pub prompt: u64,
     /// Most output tokens.
     pub output: u64,
+    /// The caller's guess at the output tokens.
+    pub guess: Option<u64>,
 }
 
 impl Tokens {
--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -36,6 +36,10 @@
 const MIN_PATIENCE: Duration = Duration::from_secs(2);
 /// Targets after which a caller abandons a stream that has not begun.
 const PATIENCE_TARGETS: u32 = 4;
+/// Shortest forecast of room: the time in which most streams that run now have ended.
+const MIN_RETRY: Duration = Duration::from_millis(2_500);
+/// Part of its time that a caller waits after a refusal; a third by the platform's word.
+const MAX_RETRY_PART: f64 = 0.32;
 /// Time after which a caller may come back when engines failed rather than filled.
 const FAILED_RETRY: Duration = Duration::from_millis(300);
 
@@ -88,20 +92,26 @@
 /// Waits for a slot, and reserves it at the engine.
 async fn reserve(router: &Arc<Router>, call: &Arc<Call>) -> Result<Place, Refusal> {
     let tokens = call.tokens();
+    let service = &call.service.name;
+    let (need, cost) = router.with_pool(service, |pool| pool.likely(tokens)).unwrap_or_default();
     // A returning caller's time has run since its first attempt.
     let age =
         call.facts.patience.map_or(Duration::ZERO, |left| call.route.timeout.saturating_sub(left));
     let patience = (call.route.target * PATIENCE_TARGETS).max(MIN_PATIENCE);
+    let patience = patience.mul_f64(router.settings.pool.wait_part);
     let mut ask = PlaceAsk {
-        need: tokens.total(),
+        need,
         prompt: tokens.prompt,
+        cost,
+        returned: age > call.route.target,
         due: call.start + call.route.target.saturating_sub(age),
         patience: (call.start + patience).min(call.deadline),
         again: false,
     };
     for _ in 0..MAX_HOLDS {
         let placed = router.place(&call.service.name, ask).await;
-        let engine = placed.map_err(|retry| Refusal::not_run(Cause::Busy).after(spread(retry)))?;
+        let engine = placed
+            .map_err(|retry| Refusal::not_run(Cause::Busy).after(retry_after(call, retry)))?;
         let mut place = Place {
             router: router.clone(),
             call: call.clone(),
@@ -406,6 +416,13 @@
     }
 }
 
+/// When a caller for whom there is no room may come back: not before there should be, since
+/// it may come only once, and not after it would stop waiting.
+fn retry_after(call: &Call, forecast: Duration) -> Duration {
+    let most = call.left(Instant::now()).mul_f64(MAX_RETRY_PART);
+    forecast.clamp(MIN_RETRY.min(most), most).mul_f64(rand::random_range(0.75..1.0))
+}
+
 /// Spreads the callers that come back over some time.
 fn spread(retry: Duration) -> Duration {
     retry.mul_f64(rand::random_range(0.8..1.3))
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod router;
 pub mod serve;
 pub mod site;
+pub mod tuning;
 
 pub use router::{Router, RouterSettings};
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -1,24 +1,28 @@
 //! Queueing, refusing and placing of model requests.
 //!
-//! The load that this answers: bursts of about twice the usual, of streams that each hold
-//! a decode slot and memory for prompt and output for seconds. Memory and slots bind, not
-//! the reading of prompts. So a request waits here, before it holds anything, until a
-//! decode engine has room; what cannot begin in time yields to what can, and what cannot
-//! begin at all is refused at once, with a time at which there should be room.
+//! The load that this answers: bursts of twice to four times the usual, of streams that
+//! each hold a decode slot and memory for prompt and output for seconds. Memory and slots
+//! bind, not the reading of prompts. So a request waits here, before it holds anything,
+//! until a decode engine has room. Of those whose first event can be in time the cheapest
+//! goes first, since that serves most callers; the others follow while there is room. A
+//! request that will not be placed by forecast is refused at once, with a time at which
+//! there should be room.
 //!
 //! An engine's room is what its size leaves after this host's requests and those that
 //! other hosts tell of. The engine itself has the last word: a slot that it does not
 //! reserve blocks it here for a moment.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::edge::Tokens;
 use crate::health::{Health, Outcome};
 use crate::roster::{Stage, Upstream};
 use crate::site::EngineSize;
+use crate::tuning::PoolTuning;
 
 /// Time for which an engine that refused a slot is not asked again; about one event.
 const FULL_PAUSE: Duration = Duration::from_millis(50);
@@ -30,14 +34,12 @@
 const FIRST_SPEED: f64 = 40.0;
 /// Weight of the newest prompt in the mean speed.
 const SPEED_WEIGHT: f64 = 0.1;
-/// Part of a late request's time to its first event that it may wait in the queue.
-const LATE_WAIT: f64 = 0.7;
-/// Busy part that is accepted to stay in the data centre; a stream crosses once or twice.
-const CROSSING_COST: f64 = 0.08;
-/// Weight of an engine's failure rate against its busy part.
-const FAILURE_COST: f64 = 2.0;
-/// Shortest time after which a refused caller is told to come back.
-const MIN_RETRY: Duration = Duration::from_millis(400);
+/// Time over which the demand is averaged: a burst is seen within it.
+const DEMAND_TIME: Duration = Duration::from_millis(1_000);
+/// Least part of the drain that late requests are forecast to get.
+const MIN_LATE_PART: f64 = 0.1;
+/// Weight of the newest guess in the mean guess.
+const GUESS_WEIGHT: f64 = 0.02;
 
 /// Names a waiting request.
 pub type Ticket = u64;
@@ -51,6 +53,10 @@
     pub need: u64,
     /// Prompt tokens.
     pub prompt: u64,
+    /// Memory times time that it needs, in any unit that is the same for all.
+    pub cost: f64,
+    /// Whether the caller was refused before and has come back.
+    pub returned: bool,
     /// When its first event should reach the caller.
     pub due: Instant,
     /// When the caller gives up, if nothing has come.
@@ -71,16 +77,46 @@
 pub struct Pool {
     size: EngineSize,
     zone: Arc<str>,
+    tuning: PoolTuning,
     engines: HashMap<Arc<str>, Engine>,
-    /// Requests whose first event can still be in time, oldest first.
-    timely: VecDeque<Ask>,
-    /// The others.
-    late: VecDeque<Ask>,
+    /// Requests whose first event can still be in time, cheapest first.
+    timely: Vec<Ask>,
+    /// The others: those that came back first, then the cheapest.
+    late: Vec<Ask>,
+    /// Mean time that a request holds its slot.
     stay: Duration,
+    /// Mean speed of reading, in prompt tokens a millisecond.
     speed: f64,
+    /// Mean of callers' guesses, in output tokens.
+    guess: Option<f64>,
+    demand: Demand,
     hosts: usize,
 }
 
+/// Memory that callers ask for, averaged over a short time.
+#[derive(Debug, Default)]
+struct Demand {
+    tokens: f64,
+    at: Option<Instant>,
+}
+
+impl Demand {
+    fn add(&mut self, now: Instant, tokens: u64) {
+        self.tokens = self.level(now) + tokens as f64;
+        self.at = Some(now);
+    }
+
+    fn level(&self, now: Instant) -> f64 {
+        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.tokens * (-age.as_secs_f64() / DEMAND_TIME.as_secs_f64()).exp()
+    }
+
+    /// Tokens a second.
+    fn rate(&self, now: Instant) -> f64 {
+        self.level(now) / DEMAND_TIME.as_secs_f64()
+    }
+}
+
 #[derive(Debug)]
 struct Engine {
     upstream: Arc<Upstream>,
@@ -103,15 +139,18 @@
 
 impl Pool {
     /// A pool without engines, for a host in `zone`.
-    pub fn new(size: EngineSize, zone: Arc<str>) -> Self {
+    pub fn new(size: EngineSize, zone: Arc<str>, tuning: PoolTuning) -> Self {
         Self {
             size,
             zone,
+            tuning,
             engines: HashMap::new(),
-            timely: VecDeque::new(),
-            late: VecDeque::new(),
+            timely: Vec::new(),
+            late: Vec::new(),
             stay: FIRST_STAY,
             speed: FIRST_SPEED,
+            guess: None,
+            demand: Demand::default(),
             hosts: 1,
         }
     }
@@ -152,14 +191,28 @@
         used.filter(|(_, own)| own.slots > 0)
     }
 
+    /// Memory that a request is likely to hold, and what it costs altogether.
+    pub fn likely(&mut self, tokens: Tokens) -> (u64, f64) {
+        let own = tokens.guess.map_or(tokens.output, |guess| guess.min(tokens.output)) as f64;
+        let mean = self.guess.map_or(own, |mean| mean + GUESS_WEIGHT * (own - mean));
+        self.guess = Some(mean);
+        let weight = self.tuning.guess_weight;
+        let output = weight * own + (1.0 - weight) * mean.min(tokens.output as f64);
+        let need = tokens.prompt as f64 + self.tuning.output_part * output;
+        // The time that a slot is held grows with the output.
+        (need as u64, need * (mean + output))
+    }
+
     /// Queues a request; [`Self::decide`] tells what becomes of it.
-    pub fn push(&mut self, ask: Ask) {
-        self.timely.push_back(ask);
+    pub fn push(&mut self, now: Instant, ask: Ask) {
+        self.demand.add(now, ask.need);
+        self.push_again(ask);
     }
 
     /// Puts a request back whose engine had no room after all.
-    pub fn push_front(&mut self, ask: Ask) {
-        self.timely.push_front(ask);
+    pub fn push_again(&mut self, ask: Ask) {
+        let place = self.timely.partition_point(|other| other.cost <= ask.cost);
+        self.timely.insert(place, ask);
     }
 
     /// Forgets a waiting request.
@@ -190,58 +243,80 @@
     /// Moves requests that cannot begin in time to the late ones.
     fn demote(&mut self, now: Instant) {
         let speed = self.speed;
-        let late = |ask: &mut Ask| now + reading_time(ask.prompt, speed) > ask.due;
-        let moved: Vec<Ask> = extract(&mut self.timely, late);
+        let moved =
+            self.timely.extract_if(.., |ask| now + reading_time(ask.prompt, speed) > ask.due);
         self.late.extend(moved);
+        self.late.sort_by(|a, b| b.returned.cmp(&a.returned).then(a.cost.total_cmp(&b.cost)));
     }
 
     fn place(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
-        // First come, first served, whatever the size: to pass over a large request would
-        // keep it waiting for as long as small ones come.
-        while let Some(ask) = self.timely.front().or(self.late.front()).copied() {
+        // The first waits until it fits: to pass over a large request would keep it waiting
+        // for as long as small ones come.
+        while let Some(ask) = self.timely.first().or(self.late.first()).copied() {
             let Some(id) = self.best_decode(now, ask.need) else { return };
             let Some(engine) = self.engines.get_mut(&id) else { return };
             engine.own.slots += 1;
             engine.own.tokens += ask.need;
             decisions.push(Decision::Place(ask.ticket, engine.upstream.clone()));
-            if self.timely.pop_front().is_none() {
-                self.late.pop_front();
-            }
+            let queue = if self.timely.is_empty() { &mut self.late } else { &mut self.timely };
+            queue.remove(0);
         }
     }
 
+    /// Refuses what will not be placed in time, or not at all, by forecast.
     fn refuse(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
-        let mut ahead = 0;
-        let waits: Vec<(Ticket, Duration, bool)> = {
-            let all = self.timely.iter().chain(&self.late);
-            all.map(|ask| {
-                ahead += ask.need;
-                let wait = self.wait(ahead);
-                let left = ask.patience.saturating_duration_since(now).mul_f64(LATE_WAIT);
-                (ask.ticket, wait, wait > left)
-            })
-            .collect()
-        };
-        for (ticket, wait, _) in waits.into_iter().filter(|(_, _, hopeless)| *hopeless) {
+        let drain = self.drain();
+        let spare = (drain - self.demand.rate(now)).max(drain * MIN_LATE_PART);
+        let mut ahead = 0.0;
+        let mut hopeless = Vec::new();
+        for ask in &self.timely {
+            let time = ask.due.saturating_duration_since(now).as_secs_f64();
+            let late = ahead / drain > time * self.tuning.forecast_slack;
+            let patience = ask.patience.saturating_duration_since(now).as_secs_f64();
+            if late && ahead / spare > patience {
+                hopeless.push(ask.ticket);
+            } else {
+                ahead += ask.need as f64;
+            }
+        }
+        for ask in &self.late {
+            let time = ask.patience.saturating_duration_since(now).as_secs_f64();
+            if time <= 0.0 || ahead / spare > time {
+                hopeless.push(ask.ticket);
+            } else {
+                ahead += ask.need as f64;
+            }
+        }
+        let retry = Duration::try_from_secs_f64(ahead / spare).unwrap_or(Duration::MAX);
+        for ticket in hopeless {
             self.cancel(ticket);
-            decisions.push(Decision::Refuse(ticket, wait.max(MIN_RETRY)));
+            decisions.push(Decision::Refuse(ticket, retry));
         }
     }
 
-    /// Time until this host's requests that need `tokens` together have places.
-    fn wait(&self, tokens: u64) -> Duration {
-        let engines = self.engines.values();
-        let decode = engines.filter(|engine| engine.upstream.stage == Some(Stage::Decode)).count();
-        let memory = decode as f64 * self.size.tokens as f64 / self.hosts as f64;
-        if memory < 1.0 {
-            return self.stay;
-        }
-        self.stay.mul_f64(tokens as f64 / memory)
+    /// Memory that comes free for this host, in tokens a second.
+    fn drain(&self) -> f64 {
+        let decode = self.engines.values().filter(|engine| engine.is_decode());
+        let (engines, own, all) = decode.fold((0.0, 0, 0), |(count, own, all), engine| {
+            let foreign = engine.foreign.tokens;
+            (count + 1.0, own + engine.own.tokens, all + engine.own.tokens + foreign)
+        });
+        // At least an even part: what is free goes to whoever asks.
+        let even = 1.0 / self.hosts as f64;
+        let part = if all == 0 { 1.0 } else { (own as f64 / all as f64).max(even) };
+        let memory = engines * self.memory() * part;
+        (memory / self.stay.as_secs_f64().max(0.001)).max(1.0)
+    }
+
+    /// Memory of an engine that is given out, in tokens.
+    fn memory(&self) -> f64 {
+        self.size.tokens as f64 * self.tuning.memory_part
     }
 
     fn best_decode(&self, now: Instant, need: u64) -> Option<Arc<str>> {
         let engines = self.engines.iter();
-        let fitting = engines.filter(|(_, engine)| engine.fits(now, need, self.size));
+        let fitting = engines
+            .filter(|(_, engine)| engine.fits(now, need, self.size.slots, self.memory() as u64));
         let costs = fitting.map(|(id, engine)| (self.decode_cost(now, engine), id));
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id.clone())
     }
@@ -249,11 +324,11 @@
     fn decode_cost(&self, now: Instant, engine: &Engine) -> f64 {
         let used = (engine.own.tokens + engine.foreign.tokens) as f64;
         let busy = used / self.size.tokens.max(1) as f64;
-        busy + self.crossing(engine) + FAILURE_COST * engine.health.failure_rate(now)
+        busy + self.crossing(engine) + self.tuning.failure_cost * engine.health.failure_rate(now)
     }
 
     fn crossing(&self, engine: &Engine) -> f64 {
-        if engine.upstream.zone == self.zone { 0.0 } else { CROSSING_COST }
+        if engine.upstream.zone == self.zone { 0.0 } else { self.tuning.crossing_cost }
     }
 
     /// The engine that should have read a prompt first; counts the prompt to it.
@@ -271,7 +346,7 @@
         let costs = engines.map(|(id, engine)| {
             // Counted in prompts of this size.
             let backlog = engine.reading as f64 / prompt.max(1) as f64;
-            let failing = FAILURE_COST * engine.health.failure_rate(now);
+            let failing = self.tuning.failure_cost * engine.health.failure_rate(now);
             (backlog + failing + self.crossing(engine), id.clone())
         });
         let (_, id) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -326,15 +401,19 @@
 }
 
 impl Engine {
-    fn fits(&self, now: Instant, need: u64, size: EngineSize) -> bool {
+    fn is_decode(&self) -> bool {
+        self.upstream.stage == Some(Stage::Decode)
+    }
+
+    fn fits(&self, now: Instant, need: u64, most: u32, memory: u64) -> bool {
         let slots = self.own.slots + self.foreign.slots;
         let tokens = self.own.tokens + self.foreign.tokens;
-        self.upstream.stage == Some(Stage::Decode)
+        self.is_decode()
             && !self.health.is_avoided(now)
             && self.full.is_none_or(|end| end <= now)
-            && slots < size.slots
+            && slots < most
             // A request as large as the engine passes an empty one.
-            && (tokens == 0 || tokens + need <= size.tokens)
+            && (tokens == 0 || tokens + need <= memory)
     }
 }
 
@@ -363,15 +442,3 @@
 fn reading_time(prompt: u64, speed: f64) -> Duration {
     Duration::from_secs_f64(prompt as f64 / speed.max(1.0) / 1_000.0)
 }
-
-fn extract(queue: &mut VecDeque<Ask>, mut which: impl FnMut(&mut Ask) -> bool) -> Vec<Ask> {
-    let mut taken = Vec::new();
-    queue.retain_mut(|ask| {
-        let take = which(ask);
-        if take {
-            taken.push(*ask);
-        }
-        !take
-    });
-    taken
-}
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -21,6 +21,7 @@
 use crate::quota::{Quota, QuotaRules, Share};
 use crate::roster::{Roster, Upstream};
 use crate::site::Site;
+use crate::tuning::PoolTuning;
 
 /// Time since the last word from the store or a peer after which a host may be behind.
 /// Twice the longest wait of a watch.
@@ -51,6 +52,8 @@
     pub repeats: RepeatRules,
     /// What is tolerated of limits.
     pub quota: QuotaRules,
+    /// Settings of pools.
+    pub pool: PoolTuning,
 }
 
 /// State of one host.
@@ -201,7 +204,7 @@
             match service.engine {
                 Some(size) => {
                     let mut pools = lock(&self.pools);
-                    let fresh = || Pool::new(size, self.settings.zone.clone());
+                    let fresh = || Pool::new(size, self.settings.zone.clone(), self.settings.pool);
                     let pool = pools.pools.entry(name.clone()).or_insert_with(fresh);
                     pool.replace(&list, size, hosts);
                 }
@@ -259,12 +262,12 @@
         {
             let mut pools = lock(&self.pools);
             let Some(pool) = pools.pools.get_mut(service) else { return Err(Duration::ZERO) };
-            let PlaceAsk { need, prompt, due, patience, again } = ask;
-            let waiting = Ask { ticket, need, prompt, due, patience };
+            let PlaceAsk { need, prompt, cost, returned, due, patience, again } = ask;
+            let waiting = Ask { ticket, need, prompt, cost, returned, due, patience };
             if again {
-                pool.push_front(waiting)
+                pool.push_again(waiting)
             } else {
-                pool.push(waiting)
+                pool.push(Instant::now(), waiting)
             }
             pools.waiters.insert(ticket, Waiter { need, reply });
         }
@@ -328,6 +331,10 @@
     pub need: u64,
     /// Prompt tokens.
     pub prompt: u64,
+    /// Memory times time.
+    pub cost: f64,
+    /// Whether the caller has come back after a refusal.
+    pub returned: bool,
     /// When the first event should reach the caller.
     pub due: Instant,
     /// When the caller gives up, if nothing has come.
--- a/crates/rosemarypitch/src/cli.rs
+++ b/crates/rosemarypitch/src/cli.rs
@@ -94,6 +94,9 @@
     /// The platform's settings file; by default the one that the environment names.
     #[arg(long)]
     pub settings: Option<PathBuf>,
+    /// Settings of queueing and placing, JSON.
+    #[arg(long)]
+    pub tuning: Option<PathBuf>,
     /// Least severe level that is logged.
     #[arg(long, default_value = "info")]
     pub log: String,
--- a/crates/rosemarypitch/src/router.rs
+++ b/crates/rosemarypitch/src/router.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
+use rosemarypitch_forward::tuning::PoolTuning;
 use rosemarypitch_forward::{Router, serve};
 use rosemarypitch_platform::boot::{Boot, PATH_VARIABLE};
 use rosemarypitch_platform::kv::Kv;
@@ -21,7 +22,10 @@
     let path = path.ok_or_else(|| {
         Failure::Usage(format!("no settings file: give --settings or set {PATH_VARIABLE}"))
     })?;
-    let boot = read(&path)?;
+    let mut boot = read(&path)?;
+    if let Some(path) = &options.tuning {
+        boot.router.pool = tuning(path)?;
+    }
     if options.check {
         println!("{}: good; host {}", path.display(), boot.router.host);
         return Ok(());
@@ -35,6 +39,15 @@
     Ok(())
 }
 
+fn tuning(path: &Path) -> Result<PoolTuning, Failure> {
+    let text = fs::read_to_string(path).map_err(|error| Failure::File(path.to_owned(), error))?;
+    let wrong = |error: String| Failure::Usage(format!("{}: {error}", path.display()));
+    let tuning: PoolTuning =
+        serde_json::from_str(&text).map_err(|error| wrong(error.to_string()))?;
+    tuning.check().map_err(|error| wrong(error.to_string()))?;
+    Ok(tuning)
+}
+
 fn read(path: &Path) -> Result<Boot, Failure> {
     let text = fs::read_to_string(path).map_err(|error| Failure::File(path.to_owned(), error))?;
     Boot::parse(&text).map_err(|error| Failure::Usage(format!("{}: {error}", path.display())))
