Forecast each engine's memory from its streams' progress

Cause: preempted streams are read in again: engines were given more than they could hold, since a request was counted with a fixed size though it grows while it runs. Change: the most that running streams will hold together, from prompt, output made and output expected; hosts report each of their streams.

--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -15,11 +15,11 @@
 use crate::edge::{EngineCall, KvSource, SendStage, Sending};
 use crate::health::Outcome;
 use crate::plain::{self, Verdict};
-use crate::pool::{DecodeEnd, PrefillEnd};
+use crate::pool::{DecodeEnd, PrefillEnd, Ticket};
 use crate::refusal::{Cause, Ran, Refusal};
 use crate::relay::{AnswerBody, Stream, StreamEnd};
 use crate::roster::Upstream;
-use crate::router::{PlaceAsk, Router};
+use crate::router::{PlaceAsk, Placed, Router};
 use crate::site::RouteKind;
 
 /// Most engines that are asked for a slot; each costs a round trip.
@@ -50,12 +50,12 @@
     router.metrics.queue(&call.service.name, call.customer_name(), queued.elapsed());
     call::check_again(router, call)?;
     log::info!(
-        "call: placed attempt={} route={} engine={} hold={} need={} queued_ms={}",
+        "call: placed attempt={} route={} engine={} hold={} ticket={} queued_ms={}",
         call.facts.attempt,
         call.route.name,
         place.engine.id,
         place.hold.as_deref().unwrap_or("-"),
-        place.need,
+        place.ticket,
         queued.elapsed().as_millis(),
     );
     let source = prefill(router, call).await?;
@@ -67,7 +67,7 @@
     router: Arc<Router>,
     call: Arc<Call>,
     engine: Arc<Upstream>,
-    need: u64,
+    ticket: Ticket,
     hold: Option<Arc<str>>,
     start: Instant,
     end: DecodeEnd,
@@ -81,7 +81,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.router.release(&self.call.service.name, &self.engine.id, self.need, self.end);
+        self.router.release(&self.call.service.name, &self.engine.id, self.ticket, self.end);
         if let Some(hold) = self.hold.take() {
             let call = EngineCall::DropHold(&hold);
             tell(&self.router, &self.engine, &call);
@@ -93,16 +93,15 @@
 async fn reserve(router: &Arc<Router>, call: &Arc<Call>) -> Result<Place, Refusal> {
     let tokens = call.tokens();
     let service = &call.service.name;
-    let (need, cost) = router.with_pool(service, |pool| pool.likely(tokens)).unwrap_or_default();
+    let likely = router.with_pool(service, |pool| pool.likely(tokens)).unwrap_or_default();
     // A returning caller's time has run since its first attempt.
     let age =
         call.facts.patience.map_or(Duration::ZERO, |left| call.route.timeout.saturating_sub(left));
     let patience = (call.route.target * PATIENCE_TARGETS).max(MIN_PATIENCE);
     let patience = patience.mul_f64(router.settings.pool.wait_part);
     let mut ask = PlaceAsk {
-        need,
         prompt: tokens.prompt,
-        cost,
+        likely,
         returned: age > call.route.target,
         due: call.start + call.route.target.saturating_sub(age),
         patience: (call.start + patience).min(call.deadline),
@@ -110,18 +109,18 @@
     };
     for _ in 0..MAX_HOLDS {
         let placed = router.place(&call.service.name, ask).await;
-        let engine = placed
+        let Placed { ticket, engine } = placed
             .map_err(|retry| Refusal::not_run(Cause::Busy).after(retry_after(call, retry)))?;
         let mut place = Place {
             router: router.clone(),
             call: call.clone(),
             engine,
-            need: ask.need,
+            ticket,
             hold: None,
             start: Instant::now(),
             end: DecodeEnd::Cancelled,
         };
-        match hold(router, call, &place.engine, ask.need).await {
+        match hold(router, call, &place.engine, likely.output).await {
             Ok(Some(hold)) => {
                 place.hold = Some(hold);
                 return Ok(place);
@@ -145,10 +144,13 @@
     router: &Router,
     call: &Call,
     engine: &Upstream,
-    need: u64,
+    output: u64,
 ) -> Result<Option<Arc<str>>, SendError> {
     let time = call.service.engine.map_or(Duration::ZERO, |size| size.hold);
-    let ask = EngineCall::Hold { tokens: need, time: time.min(call.left(Instant::now())) };
+    let prompt = call.tokens().prompt;
+    let size = router.with_pool(&call.service.name, |pool| pool.hold_size(prompt, output));
+    let tokens = size.unwrap_or(prompt);
+    let ask = EngineCall::Hold { tokens, time: time.min(call.left(Instant::now())) };
     let request = router.dialect.engine_call(&engine.id, &ask);
     let exchange = client::send_whole(engine.address, request);
     let answer = tokio::time::timeout(ENGINE_CALL_TIME, exchange).await;
@@ -355,6 +357,7 @@
     *response.status_mut() = head.status;
     *response.headers_mut() = router.dialect.caller_headers(&head);
     let good = head.status.is_success();
+    let (engine, ticket) = (place.engine.id.clone(), place.ticket);
     let mut held = Some(place);
     let on_end = move |end: StreamEnd| {
         let Some(place) = held.take() else { return };
@@ -371,10 +374,27 @@
             StreamEnd::Abandoned => DecodeEnd::Cancelled,
         });
     };
-    let stream = Stream::relay(body, exchange.connection, call.deadline, on_end);
+    let on_events = count_events(router, call, engine, ticket);
+    let stream = Stream::relay(body, exchange.connection, call.deadline, on_events, on_end);
     Ok(response.map(|()| stream))
 }
 
+/// Tells the pool how far a stream has come.
+fn count_events(
+    router: &Arc<Router>,
+    call: &Call,
+    engine: Arc<str>,
+    ticket: Ticket,
+) -> impl FnMut(u64) + Send + Unpin + 'static {
+    let (router, service) = (router.clone(), call.service.clone());
+    let stride = service.engine.map_or(1, |size| size.stride);
+    let mut made = 0;
+    move |events| {
+        made += events * stride;
+        router.with_pool(&service.name, |pool| pool.progress(&engine, ticket, made));
+    }
+}
+
 fn build(
     router: &Router,
     call: &Call,
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -141,7 +141,10 @@
             report.admitted = quota.admitted().map(|(name, n)| (name.clone(), n)).collect();
         });
         self.router.each_pool(|pool| {
-            let uses = pool.own().map(|(id, own)| (id.clone(), own.slots, own.tokens));
+            let uses = pool.own().map(|(id, streams)| {
+                let streams = streams.iter().map(|stream| (stream.held, stream.growth));
+                (id.clone(), streams.collect())
+            });
             report.uses.extend(uses);
         });
         report
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod generate;
 pub mod gossip;
 pub mod health;
+pub mod memory;
 pub mod metrics;
 pub mod neighbours;
 pub mod plain;
--- a/crates/rosemarypitch-forward/src/neighbours.rs
+++ b/crates/rosemarypitch-forward/src/neighbours.rs
@@ -12,7 +12,7 @@
 use rosemarypitch_peer::HostReport;
 use tokio::time::Instant;
 
-use crate::pool::Use;
+use crate::memory::StreamUse;
 use crate::quota::Share;
 
 /// Time between exchanges of two hosts, for each host there is beyond two.
@@ -120,14 +120,14 @@
     }
 
     /// What the hosts that report use of each engine.
-    pub fn uses(&self, now: Instant) -> HashMap<Arc<str>, Use> {
+    pub fn uses(&self, now: Instant) -> HashMap<Arc<str>, Vec<StreamUse>> {
         let interval = self.interval();
-        let mut uses: HashMap<Arc<str>, Use> = HashMap::new();
+        let mut uses: HashMap<Arc<str>, Vec<StreamUse>> = HashMap::new();
         let reporting = self.hosts.values().filter(|known| known.is_reporting(now, interval));
-        for (engine, slots, tokens) in reporting.flat_map(|known| &known.report.uses) {
-            let sum = uses.entry(engine.clone()).or_default();
-            sum.slots += slots;
-            sum.tokens += tokens;
+        for (engine, streams) in reporting.flat_map(|known| &known.report.uses) {
+            let streams =
+                streams.iter().map(|(held, growth)| StreamUse { held: *held, growth: *growth });
+            uses.entry(engine.clone()).or_default().extend(streams);
         }
         uses
     }
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -20,6 +20,7 @@
 
 use crate::edge::Tokens;
 use crate::health::{Health, Outcome};
+use crate::memory::{self, StreamUse};
 use crate::roster::{Stage, Upstream};
 use crate::site::EngineSize;
 use crate::tuning::PoolTuning;
@@ -49,10 +50,10 @@
 pub struct Ask {
     /// Name of the request.
     pub ticket: Ticket,
-    /// Memory that it needs, in tokens.
-    pub need: u64,
     /// Prompt tokens.
     pub prompt: u64,
+    /// Output tokens that it is likely to make.
+    pub output: u64,
     /// Memory times time that it needs, in any unit that is the same for all.
     pub cost: f64,
     /// Whether the caller was refused before and has come back.
@@ -63,6 +64,22 @@
     pub patience: Instant,
 }
 
+impl Ask {
+    /// Memory that it holds on average, in tokens.
+    fn memory(&self) -> u64 {
+        self.prompt + self.output / 2
+    }
+}
+
+/// What a request is likely to need.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Likely {
+    /// Output tokens.
+    pub output: u64,
+    /// Memory times time, in any unit that is the same for all.
+    pub cost: f64,
+}
+
 /// Something that became of a waiting request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -120,21 +137,26 @@
 #[derive(Debug)]
 struct Engine {
     upstream: Arc<Upstream>,
-    own: Use,
-    foreign: Use,
+    own: HashMap<Ticket, Running>,
+    foreign: Vec<StreamUse>,
     /// Prompt tokens that this host waits for.
     reading: u64,
     full: Option<Instant>,
     health: Health,
 }
 
-/// Slots and memory in use.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Use {
-    /// Slots.
-    pub slots: u32,
-    /// Memory, in tokens.
-    pub tokens: u64,
+/// A request of this host at an engine.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    prompt: u64,
+    made: u64,
+    expected: u64,
+}
+
+impl Running {
+    fn memory(&self) -> StreamUse {
+        StreamUse::new(self.prompt, self.made, self.expected)
+    }
 }
 
 impl Pool {
@@ -167,8 +189,8 @@
                 }
                 _ => Engine {
                     upstream: upstream.clone(),
-                    own: Use::default(),
-                    foreign: Use::default(),
+                    own: HashMap::new(),
+                    foreign: Vec::new(),
                     reading: 0,
                     full: None,
                     health: Health::default(),
@@ -179,33 +201,46 @@
     }
 
     /// Takes what the other hosts together use.
-    pub fn set_foreign(&mut self, uses: &HashMap<Arc<str>, Use>) {
+    pub fn set_foreign(&mut self, uses: &HashMap<Arc<str>, Vec<StreamUse>>) {
         for (id, engine) in &mut self.engines {
-            engine.foreign = uses.get(id).copied().unwrap_or_default();
+            engine.foreign = uses.get(id).cloned().unwrap_or_default();
         }
     }
 
     /// What this host uses.
-    pub fn own(&self) -> impl Iterator<Item = (&Arc<str>, Use)> {
-        let used = self.engines.iter().map(|(id, engine)| (id, engine.own));
-        used.filter(|(_, own)| own.slots > 0)
+    pub fn own(&self) -> impl Iterator<Item = (&Arc<str>, Vec<StreamUse>)> {
+        let used = self.engines.iter().filter(|(_, engine)| !engine.own.is_empty());
+        used.map(|(id, engine)| (id, engine.own.values().map(Running::memory).collect()))
     }
 
-    /// Memory that a request is likely to hold, and what it costs altogether.
-    pub fn likely(&mut self, tokens: Tokens) -> (u64, f64) {
+    /// Takes note of the output that a request has made.
+    pub fn progress(&mut self, id: &str, ticket: Ticket, made: u64) {
+        let engine = self.engines.get_mut(id);
+        if let Some(running) = engine.and_then(|engine| engine.own.get_mut(&ticket)) {
+            running.made = made;
+        }
+    }
+
+    /// What a request is likely to need.
+    pub fn likely(&mut self, tokens: Tokens) -> Likely {
         let own = tokens.guess.map_or(tokens.output, |guess| guess.min(tokens.output)) as f64;
         let mean = self.guess.map_or(own, |mean| mean + GUESS_WEIGHT * (own - mean));
         self.guess = Some(mean);
         let weight = self.tuning.guess_weight;
         let output = weight * own + (1.0 - weight) * mean.min(tokens.output as f64);
-        let need = tokens.prompt as f64 + self.tuning.output_part * output;
+        let prompt = tokens.prompt as f64;
         // The time that a slot is held grows with the output.
-        (need as u64, need * (mean + output))
+        Likely { output: output as u64, cost: (prompt + output / 2.0) * (mean + output) }
+    }
+
+    /// Memory that an engine is asked to keep for a request.
+    pub fn hold_size(&self, prompt: u64, output: u64) -> u64 {
+        prompt + (output as f64 * self.tuning.hold_part) as u64
     }
 
     /// Queues a request; [`Self::decide`] tells what becomes of it.
     pub fn push(&mut self, now: Instant, ask: Ask) {
-        self.demand.add(now, ask.need);
+        self.demand.add(now, ask.memory());
         self.push_again(ask);
     }
 
@@ -253,10 +288,10 @@
         // The first waits until it fits: to pass over a large request would keep it waiting
         // for as long as small ones come.
         while let Some(ask) = self.timely.first().or(self.late.first()).copied() {
-            let Some(id) = self.best_decode(now, ask.need) else { return };
+            let Some(id) = self.best_decode(now, &ask) else { return };
             let Some(engine) = self.engines.get_mut(&id) else { return };
-            engine.own.slots += 1;
-            engine.own.tokens += ask.need;
+            let running = Running { prompt: ask.prompt, made: 0, expected: ask.output };
+            engine.own.insert(ask.ticket, running);
             decisions.push(Decision::Place(ask.ticket, engine.upstream.clone()));
             let queue = if self.timely.is_empty() { &mut self.late } else { &mut self.timely };
             queue.remove(0);
@@ -276,7 +311,7 @@
             if late && ahead / spare > patience {
                 hopeless.push(ask.ticket);
             } else {
-                ahead += ask.need as f64;
+                ahead += ask.memory() as f64;
             }
         }
         for ask in &self.late {
@@ -284,7 +319,7 @@
             if time <= 0.0 || ahead / spare > time {
                 hopeless.push(ask.ticket);
             } else {
-                ahead += ask.need as f64;
+                ahead += ask.memory() as f64;
             }
         }
         let retry = Duration::try_from_secs_f64(ahead / spare).unwrap_or(Duration::MAX);
@@ -298,8 +333,7 @@
     fn drain(&self) -> f64 {
         let decode = self.engines.values().filter(|engine| engine.is_decode());
         let (engines, own, all) = decode.fold((0.0, 0, 0), |(count, own, all), engine| {
-            let foreign = engine.foreign.tokens;
-            (count + 1.0, own + engine.own.tokens, all + engine.own.tokens + foreign)
+            (count + 1.0, own + engine.own.len(), all + engine.slots())
         });
         // At least an even part: what is free goes to whoever asks.
         let even = 1.0 / self.hosts as f64;
@@ -313,18 +347,25 @@
         self.size.tokens as f64 * self.tuning.memory_part
     }
 
-    fn best_decode(&self, now: Instant, need: u64) -> Option<Arc<str>> {
-        let engines = self.engines.iter();
-        let fitting = engines
-            .filter(|(_, engine)| engine.fits(now, need, self.size.slots, self.memory() as u64));
-        let costs = fitting.map(|(id, engine)| (self.decode_cost(now, engine), id));
+    fn best_decode(&self, now: Instant, ask: &Ask) -> Option<Arc<str>> {
+        let memory = self.memory() as u64;
+        let costs = self.engines.iter().filter_map(|(id, engine)| {
+            if !engine.is_open(now) || engine.slots() >= self.size.slots as usize {
+                return None;
+            }
+            let peak = engine.peak(ask);
+            // A request as large as the engine passes an empty one.
+            let fits = peak <= memory || engine.slots() == 0;
+            fits.then(|| (self.decode_cost(now, engine, peak), id))
+        });
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id.clone())
     }
 
-    fn decode_cost(&self, now: Instant, engine: &Engine) -> f64 {
-        let used = (engine.own.tokens + engine.foreign.tokens) as f64;
-        let busy = used / self.size.tokens.max(1) as f64;
-        busy + self.crossing(engine) + self.tuning.failure_cost * engine.health.failure_rate(now)
+    fn decode_cost(&self, now: Instant, engine: &Engine, peak: u64) -> f64 {
+        let memory = peak as f64 / self.size.tokens.max(1) as f64;
+        let slots = engine.slots() as f64 / f64::from(self.size.slots.max(1));
+        let failing = self.tuning.failure_cost * engine.health.failure_rate(now);
+        memory.max(slots) + self.crossing(engine) + failing
     }
 
     fn crossing(&self, engine: &Engine) -> f64 {
@@ -383,15 +424,14 @@
     }
 
     /// Frees what a request held at an engine.
-    pub fn release(&mut self, now: Instant, id: &str, need: u64, end: DecodeEnd) {
+    pub fn release(&mut self, now: Instant, id: &str, ticket: Ticket, end: DecodeEnd) {
         if let DecodeEnd::Finished(stay) = end {
             let change = stay.as_secs_f64() - self.stay.as_secs_f64();
             let mean = self.stay.as_secs_f64() + STAY_WEIGHT * change;
             self.stay = Duration::from_secs_f64(mean.max(0.0));
         }
         let Some(engine) = self.engines.get_mut(id) else { return };
-        engine.own.slots = engine.own.slots.saturating_sub(1);
-        engine.own.tokens = engine.own.tokens.saturating_sub(need);
+        engine.own.remove(&ticket);
         match end {
             DecodeEnd::Finished(_) => engine.health.note(now, Outcome::Good),
             DecodeEnd::Failed(outcome) => engine.health.note(now, outcome),
@@ -405,15 +445,20 @@
         self.upstream.stage == Some(Stage::Decode)
     }
 
-    fn fits(&self, now: Instant, need: u64, most: u32, memory: u64) -> bool {
-        let slots = self.own.slots + self.foreign.slots;
-        let tokens = self.own.tokens + self.foreign.tokens;
-        self.is_decode()
-            && !self.health.is_avoided(now)
-            && self.full.is_none_or(|end| end <= now)
-            && slots < most
-            // A request as large as the engine passes an empty one.
-            && (tokens == 0 || tokens + need <= memory)
+    /// Whether the engine may be given a request at all.
+    fn is_open(&self, now: Instant) -> bool {
+        self.is_decode() && !self.health.is_avoided(now) && self.full.is_none_or(|end| end <= now)
+    }
+
+    fn slots(&self) -> usize {
+        self.own.len() + self.foreign.len()
+    }
+
+    /// The most memory that the engine's streams will hold together with one more.
+    fn peak(&self, ask: &Ask) -> u64 {
+        let own = self.own.values().map(Running::memory);
+        let new = StreamUse::new(ask.prompt, 0, ask.output);
+        memory::peak(own.chain(self.foreign.iter().copied()).chain([new]).collect())
     }
 }
 
--- a/crates/rosemarypitch-forward/src/quota.rs
+++ b/crates/rosemarypitch-forward/src/quota.rs
@@ -100,6 +100,15 @@
         let need = (tokens as f64 - early).min(capacity).max(0.0);
         if bucket.level < need {
             let rate = (limit.rate * share.part()).max(1.0);
+            log::info!(
+                "limits: over customer={} tokens={tokens} level={:.0} capacity={capacity:.0} \
+                 rate={:.0} heard={} hosts={}",
+                customer.name,
+                bucket.level,
+                limit.rate,
+                share.heard,
+                share.hosts,
+            );
             let wait = Duration::from_secs_f64((need - bucket.level) / rate);
             return Err(wait.min(MAX_RETRY));
         }
--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -42,28 +42,64 @@
 }
 
 /// A stream from an upstream to a caller.
-pub struct Stream<F: FnMut(StreamEnd)> {
+pub struct Stream<E, F: FnMut(StreamEnd)> {
     inner: Incoming,
     deadline: Pin<Box<Sleep>>,
     ended: bool,
+    line_open: bool,
+    on_events: E,
     on_end: F,
     _connection: Connection,
 }
 
-impl<F: FnMut(StreamEnd) + Send + Unpin + 'static> Stream<F> {
-    /// Relays `inner` until `deadline`; `on_end` is called once.
+impl<E, F> Stream<E, F>
+where
+    E: FnMut(u64) + Send + Unpin + 'static,
+    F: FnMut(StreamEnd) + Send + Unpin + 'static,
+{
+    /// Relays `inner` until `deadline`.
+    ///
+    /// `on_events` is told how many events have passed, `on_end` once how it ended.
     pub fn relay(
         inner: Incoming,
         connection: Connection,
         deadline: Instant,
+        on_events: E,
         on_end: F,
     ) -> AnswerBody {
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
-        Self { inner, deadline, ended: false, on_end, _connection: connection }.boxed_unsync()
+        Self {
+            inner,
+            deadline,
+            ended: false,
+            line_open: false,
+            on_events,
+            on_end,
+            _connection: connection,
+        }
+        .boxed_unsync()
+    }
+}
+
+impl<E: FnMut(u64), F: FnMut(StreamEnd)> Stream<E, F> {
+    /// Counts the empty lines, each of which ends an event.
+    fn count(&mut self, bytes: &[u8]) {
+        let mut events = 0;
+        for byte in bytes {
+            match byte {
+                b'\n' if !self.line_open => events += 1,
+                b'\n' => self.line_open = false,
+                b'\r' => {}
+                _ => self.line_open = true,
+            }
+        }
+        if events > 0 {
+            (self.on_events)(events);
+        }
     }
 }
 
-impl<F: FnMut(StreamEnd)> Stream<F> {
+impl<E, F: FnMut(StreamEnd)> Stream<E, F> {
     fn end(&mut self, end: StreamEnd) {
         if !std::mem::replace(&mut self.ended, true) {
             (self.on_end)(end);
@@ -71,7 +107,7 @@
     }
 }
 
-impl<F: FnMut(StreamEnd) + Unpin> Body for Stream<F> {
+impl<E: FnMut(u64) + Unpin, F: FnMut(StreamEnd) + Unpin> Body for Stream<E, F> {
     type Data = Bytes;
     type Error = BreakOff;
 
@@ -84,7 +120,12 @@
             return Poll::Ready(Some(Err(BreakOff::Timeout)));
         }
         match ready!(Pin::new(&mut self.inner).poll_frame(context)) {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Ok(frame)) => {
+                if let Some(bytes) = frame.data_ref() {
+                    self.count(bytes);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
             Some(Err(_)) => {
                 self.end(StreamEnd::Broken(BreakOff::Upstream));
                 Poll::Ready(Some(Err(BreakOff::Upstream)))
@@ -97,7 +138,7 @@
     }
 }
 
-impl<F: FnMut(StreamEnd)> Drop for Stream<F> {
+impl<E, F: FnMut(StreamEnd)> Drop for Stream<E, F> {
     fn drop(&mut self) {
         self.end(StreamEnd::Abandoned);
     }
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -17,7 +17,7 @@
 use crate::budget::{RepeatBudget, RepeatRules};
 use crate::edge::{Dialect, Directory};
 use crate::metrics::Metrics;
-use crate::pool::{Ask, Decision, DecodeEnd, Pool, Ticket};
+use crate::pool::{Ask, Decision, DecodeEnd, Likely, Pool, Ticket};
 use crate::quota::{Quota, QuotaRules, Share};
 use crate::roster::{Roster, Upstream};
 use crate::site::Site;
@@ -95,13 +95,10 @@
 #[derive(Default)]
 struct Pools {
     pools: HashMap<Arc<str>, Pool>,
-    waiters: HashMap<Ticket, Waiter>,
+    waiters: HashMap<Ticket, Reply>,
 }
 
-struct Waiter {
-    need: u64,
-    reply: oneshot::Sender<Result<Arc<Upstream>, Duration>>,
-}
+type Reply = oneshot::Sender<Result<Arc<Upstream>, Duration>>;
 
 impl Router {
     /// A host that knows nothing yet.
@@ -256,31 +253,33 @@
     }
 
     /// Waits for a decode engine; an error tells when to come back.
-    pub async fn place(&self, service: &str, ask: PlaceAsk) -> Result<Arc<Upstream>, Duration> {
+    pub async fn place(&self, service: &str, ask: PlaceAsk) -> Result<Placed, Duration> {
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
         let (reply, answer) = oneshot::channel();
         {
             let mut pools = lock(&self.pools);
             let Some(pool) = pools.pools.get_mut(service) else { return Err(Duration::ZERO) };
-            let PlaceAsk { need, prompt, cost, returned, due, patience, again } = ask;
-            let waiting = Ask { ticket, need, prompt, cost, returned, due, patience };
+            let PlaceAsk { prompt, likely, returned, due, patience, again } = ask;
+            let Likely { output, cost } = likely;
+            let waiting = Ask { ticket, prompt, output, cost, returned, due, patience };
             if again {
                 pool.push_again(waiting)
             } else {
                 pool.push(Instant::now(), waiting)
             }
-            pools.waiters.insert(ticket, Waiter { need, reply });
+            pools.waiters.insert(ticket, reply);
         }
-        let mut queued = Queued { router: self, service, ticket, need: ask.need, answer };
+        let mut queued = Queued { router: self, service, ticket, answer };
         self.decide(Instant::now());
         self.queued.notify_one();
-        (&mut queued.answer).await.unwrap_or(Err(Duration::ZERO))
+        let engine = (&mut queued.answer).await.unwrap_or(Err(Duration::ZERO))?;
+        Ok(Placed { ticket, engine })
     }
 
     /// Frees what a request held at an engine.
-    pub fn release(&self, service: &str, engine: &str, need: u64, end: DecodeEnd) {
+    pub fn release(&self, service: &str, engine: &str, ticket: Ticket, end: DecodeEnd) {
         let now = Instant::now();
-        self.with_pool(service, |pool| pool.release(now, engine, need, end));
+        self.with_pool(service, |pool| pool.release(now, engine, ticket, end));
         self.decide(now);
     }
 
@@ -327,12 +326,10 @@
 /// What a request needs at a decode engine.
 #[derive(Clone, Copy, Debug)]
 pub struct PlaceAsk {
-    /// Memory, in tokens.
-    pub need: u64,
     /// Prompt tokens.
     pub prompt: u64,
-    /// Memory times time.
-    pub cost: f64,
+    /// What else it is likely to need.
+    pub likely: Likely,
     /// Whether the caller has come back after a refusal.
     pub returned: bool,
     /// When the first event should reach the caller.
@@ -343,12 +340,20 @@
     pub again: bool,
 }
 
+/// A place at a decode engine.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// Names the request in its pool.
+    pub ticket: Ticket,
+    /// The engine.
+    pub engine: Arc<Upstream>,
+}
+
 /// A request in a queue; a caller that leaves gives its place back.
 struct Queued<'a> {
     router: &'a Router,
     service: &'a str,
     ticket: Ticket,
-    need: u64,
     answer: oneshot::Receiver<Result<Arc<Upstream>, Duration>>,
 }
 
@@ -357,7 +362,7 @@
         self.router.cancel(self.service, self.ticket);
         // A place that was given but not taken; nothing is left of one that was taken.
         if let Ok(Ok(engine)) = self.answer.try_recv() {
-            self.router.release(self.service, &engine.id, self.need, DecodeEnd::Cancelled);
+            self.router.release(self.service, &engine.id, self.ticket, DecodeEnd::Cancelled);
         }
     }
 }
@@ -366,23 +371,22 @@
 fn deliver(
     now: Instant,
     pool: &mut Pool,
-    waiters: &mut HashMap<Ticket, Waiter>,
+    waiters: &mut HashMap<Ticket, Reply>,
     decision: Decision,
 ) -> bool {
     match decision {
         Decision::Place(ticket, engine) => {
-            let Some(waiter) = waiters.remove(&ticket) else { return false };
-            let (id, need) = (engine.id.clone(), waiter.need);
-            let sent = waiter.reply.send(Ok(engine)).is_ok();
+            let id = engine.id.clone();
+            let sent = waiters.remove(&ticket).is_some_and(|reply| reply.send(Ok(engine)).is_ok());
             if !sent {
-                pool.release(now, &id, need, DecodeEnd::Cancelled);
+                pool.release(now, &id, ticket, DecodeEnd::Cancelled);
             }
             sent
         }
         Decision::Refuse(ticket, retry) => {
-            if let Some(waiter) = waiters.remove(&ticket) {
+            if let Some(reply) = waiters.remove(&ticket) {
                 // A caller that has left needs no answer.
-                let _ = waiter.reply.send(Err(retry));
+                let _ = reply.send(Err(retry));
             }
             true
         }
--- a/crates/rosemarypitch-forward/src/site.rs
+++ b/crates/rosemarypitch-forward/src/site.rs
@@ -95,6 +95,8 @@
     pub tokens: u64,
     /// Longest time that a slot is held for a request to come.
     pub hold: Duration,
+    /// Tokens in an event of a stream.
+    pub stride: u64,
 }
 
 /// A customer and its limit.
--- a/crates/rosemarypitch-forward/src/tuning.rs
+++ b/crates/rosemarypitch-forward/src/tuning.rs
@@ -6,9 +6,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct PoolTuning {
-    /// Part of the expected output that a request is counted with, from 0 to 1. A request's
-    /// memory grows while it runs; half is its mean, the rest is room for wrong guesses.
-    pub output_part: f64,
+    /// Part of the expected output that an engine is asked to reserve, from 0 to 1.
+    pub hold_part: f64,
     /// Weight of the caller's guess at the output against the mean guess, from 0 to 1.
     pub guess_weight: f64,
     /// Part of the time to its first event that a request may wait, from 0 to 1.
@@ -27,7 +26,7 @@
 impl Default for PoolTuning {
     fn default() -> Self {
         Self {
-            output_part: 0.6,
+            hold_part: 0.5,
             guess_weight: 0.5,
             wait_part: 0.85,
             memory_part: 1.0,
@@ -52,7 +51,7 @@
     /// Checks that every setting is within its bounds.
     pub fn check(&self) -> Result<(), TuningError> {
         let settings = [
-            ("output_part", self.output_part, 0.0, 1.0),
+            ("hold_part", self.hold_part, 0.0, 1.0),
             ("guess_weight", self.guess_weight, 0.0, 1.0),
             ("wait_part", self.wait_part, 0.0, 1.0),
             ("memory_part", self.memory_part, 0.1, 1.0),
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -74,8 +74,8 @@
     pub incarnation: u64,
     /// Tokens admitted since it started, by customer.
     pub admitted: Vec<(Arc<str>, u64)>,
-    /// Slots and tokens in use, by engine.
-    pub uses: Vec<(Arc<str>, u32, u64)>,
+    /// Streams at engines: tokens that each holds, and is likely to add.
+    pub uses: Vec<(Arc<str>, Vec<(u64, u64)>)>,
 }
 
 /// A heartbeat.
