--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -120,7 +120,8 @@
     TcpListener::bind(address).await.map_err(failed)
 }
 
-async fn accept(router: Arc<Router>, listener: TcpListener, open: Arc<AtomicUsize>) {
+/// Serves callers until the host takes nothing new; `open` counts their connections.
+pub async fn accept(router: Arc<Router>, listener: TcpListener, open: Arc<AtomicUsize>) {
     let mut stopping = router.stopping.subscribe();
     loop {
         let accepted = tokio::select! {
