--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -24,6 +24,10 @@
 const RENEWAL: Duration = Duration::from_secs(4);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Time in which changes of the engines in use are gathered before the others are told. A
+/// placement that crosses another within it may share an engine's last slot; the engine
+/// then refuses one of them.
+const PUSH_PAUSE: Duration = Duration::from_millis(15);
 /// Longest time for an exchange with a host.
 const EXCHANGE_TIME: Duration = Duration::from_millis(300);
 /// Length of the secret that a host proposes, in random 64-bit words.
@@ -87,14 +91,16 @@
             }
         });
         let peers = Arc::new(Peers::new(self.id.clone(), secret, traffic));
+        tokio::spawn(self.clone().push(peers.clone()));
         loop {
             let (asks, interval) = {
                 let neighbours = self.lock();
                 (neighbours.to_ask(), neighbours.interval())
             };
             for (host, address) in asks {
+                // A host that does not answer gets one message at a time.
                 if lock(&self.asking).insert(host.clone()) {
-                    tokio::spawn(exchange(self.clone(), peers.clone(), host, address));
+                    tokio::spawn(ask(self.clone(), peers.clone(), host, address));
                 }
             }
             tokio::time::sleep(interval).await;
@@ -102,6 +108,18 @@
         }
     }
 
+    /// Tells the others at once when this host uses other engines than before.
+    async fn push(self: Arc<Self>, peers: Arc<Peers>) {
+        loop {
+            self.router.uses_changed().await;
+            tokio::time::sleep(PUSH_PAUSE).await;
+            let heard = self.lock().heard(Instant::now());
+            for (host, address) in heard {
+                tokio::spawn(exchange(self.clone(), peers.clone(), host, address));
+            }
+        }
+    }
+
     /// Keeps this host's entry in the store until the process ends.
     pub async fn announce(self: Arc<Self>) {
         let mut lease = None;
@@ -152,7 +170,11 @@
 
     fn take(&self, from: &Arc<str>, report: HostReport, hears: bool) {
         let now = Instant::now();
-        let admitted = self.lock().take(now, from, report, hears);
+        let (admitted, uses) = {
+            let mut neighbours = self.lock();
+            (neighbours.take(now, from, report, hears), neighbours.uses(now))
+        };
+        self.router.each_pool(|pool| pool.set_foreign(&uses));
         let Some(site) = self.router.site() else { return };
         let share = self.router.share();
         self.router.with_quota(|quota| {
@@ -196,6 +218,11 @@
     }
 }
 
+async fn ask(gossip: Arc<Gossip>, peers: Arc<Peers>, host: Arc<str>, address: SocketAddr) {
+    exchange(gossip.clone(), peers, host.clone(), address).await;
+    lock(&gossip.asking).remove(&host);
+}
+
 async fn exchange(gossip: Arc<Gossip>, peers: Arc<Peers>, host: Arc<str>, address: SocketAddr) {
     let hears = gossip.lock().hears(Instant::now(), &host);
     let ask = Ask::Report { report: gossip.report(), hears };
@@ -204,7 +231,6 @@
         Ok(_) => log::warn!("peers: unexpected reply from host={host}"),
         Err(error) => log::debug!("peers: {error}"),
     }
-    lock(&gossip.asking).remove(&host);
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/rosemarypitch-forward/src/neighbours.rs
+++ b/crates/rosemarypitch-forward/src/neighbours.rs
@@ -81,6 +81,13 @@
         later.filter_map(|(host, known)| Some((host.clone(), known.address?))).collect()
     }
 
+    /// Hosts that are heard.
+    pub fn heard(&self, now: Instant) -> Vec<(Arc<str>, SocketAddr)> {
+        let interval = self.interval();
+        let heard = self.hosts.iter().filter(|(_, known)| known.is_heard(now, interval));
+        heard.filter_map(|(host, known)| Some((host.clone(), known.address?))).collect()
+    }
+
     /// Whether a host is heard; what it is told of itself.
     pub fn hears(&self, now: Instant, host: &str) -> bool {
         let interval = self.interval();
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -75,6 +75,7 @@
     balances: Mutex<HashMap<Arc<str>, Balance>>,
     pools: Mutex<Pools>,
     queued: Notify,
+    used: Notify,
     quota: Mutex<Quota>,
     budgets: Mutex<HashMap<Arc<str>, RepeatBudget>>,
     tickets: AtomicU64,
@@ -121,6 +122,7 @@
             balances: Mutex::default(),
             pools: Mutex::default(),
             queued: Notify::new(),
+            used: Notify::new(),
             quota: Mutex::new(quota),
             budgets: Mutex::default(),
             tickets: AtomicU64::new(1),
@@ -280,6 +282,7 @@
     pub fn release(&self, service: &str, engine: &str, ticket: Ticket, end: DecodeEnd) {
         let now = Instant::now();
         self.with_pool(service, |pool| pool.release(now, engine, ticket, end));
+        self.used.notify_one();
         self.decide(now);
     }
 
@@ -291,7 +294,11 @@
             // A caller may have left in the meantime; its place goes to the next.
             loop {
                 let mut unclaimed = false;
-                for decision in pool.decide(now) {
+                let decisions = pool.decide(now);
+                if decisions.iter().any(|decision| matches!(decision, Decision::Place(..))) {
+                    self.used.notify_one();
+                }
+                for decision in decisions {
                     unclaimed |= !deliver(now, pool, waiters, decision);
                 }
                 if !unclaimed {
@@ -301,6 +308,11 @@
         }
     }
 
+    /// Waits until this host uses other engines than before.
+    pub async fn uses_changed(&self) {
+        self.used.notified().await;
+    }
+
     /// Decides again and again while requests wait.
     pub async fn keep_deciding(&self) {
         /// Time between two looks at the queues; short against an event of 50 ms.
