Pass configuration and upstreams on to hosts that the store refuses

Change: such a host asks those it hears, four times a second; everything carries the store's revision, nothing older is taken.

--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -93,6 +93,8 @@
         self.router.update_roster(now, |roster| roster.replace(now, upstreams, outage));
         self.router.mark_current(now);
         self.revision = facts.revision;
+        self.router.set_revision(self.revision);
+        self.router.set_store_lost(false);
         self.pause = FIRST_PAUSE;
         self.note_ready();
         self.propose_secret().await;
@@ -125,6 +127,7 @@
                 Ok(Facts { facts, revision }) => {
                     self.revision = self.revision.max(revision);
                     self.take(now, facts);
+                    self.router.set_revision(self.revision);
                     self.note_ready();
                 }
                 Err(DirectoryError::Compacted) => {
@@ -192,7 +195,8 @@
     }
 
     fn lost(&mut self, error: &DirectoryError) {
-        if !std::mem::replace(&mut self.outage, true) {
+        self.outage = true;
+        if self.router.set_store_lost(true) {
             log::warn!("control: store lost revision={} {error}", self.revision);
         }
     }
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -15,6 +15,7 @@
 
 use crate::neighbours::Neighbours;
 use crate::quota::Share;
+use crate::relayed::{Have, Known};
 use crate::router::Router;
 
 /// Time for which a host's entry outlives the host's last word to the store. Longer than
@@ -28,6 +29,9 @@
 /// placement that crosses another within it may share an engine's last slot; the engine
 /// then refuses one of them.
 const PUSH_PAUSE: Duration = Duration::from_millis(15);
+/// Time between questions to the others while the store is lost; a small part of the two
+/// seconds in which a configuration has to be in force.
+const KNOWN_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest time for an exchange with a host.
 const EXCHANGE_TIME: Duration = Duration::from_millis(300);
 /// Length of the secret that a host proposes, in random 64-bit words.
@@ -92,6 +96,7 @@
         });
         let peers = Arc::new(Peers::new(self.id.clone(), secret, traffic));
         tokio::spawn(self.clone().push(peers.clone()));
+        tokio::spawn(self.clone().ask_known(peers.clone()));
         loop {
             let (asks, interval) = {
                 let neighbours = self.lock();
@@ -123,14 +128,20 @@
     /// Keeps this host's entry in the store until the process ends.
     pub async fn announce(self: Arc<Self>) {
         let mut lease = None;
+        let mut failed = false;
         loop {
             let pause = match self.renew(lease).await {
                 Ok(renewed) => {
+                    if std::mem::take(&mut failed) {
+                        log::info!("peers: entry renewed again lease={renewed}");
+                    }
                     lease = Some(renewed);
                     RENEWAL
                 }
                 Err(error) => {
-                    log::info!("peers: entry not renewed: {error}");
+                    if !std::mem::replace(&mut failed, true) {
+                        log::info!("peers: entry not renewed: {error}");
+                    }
                     RETRY_PAUSE
                 }
             };
@@ -168,6 +179,51 @@
         report
     }
 
+    fn known(&self, have: Have) -> Option<Vec<u8>> {
+        let known = self.router.known(Instant::now(), have)?;
+        known.encode().inspect_err(|error| log::error!("peers: not passed on: {error}")).ok()
+    }
+
+    /// Asks the others for what they know while the store does not answer this host.
+    async fn ask_known(self: Arc<Self>, peers: Arc<Peers>) {
+        loop {
+            tokio::time::sleep(KNOWN_INTERVAL).await;
+            if !self.router.is_store_lost() {
+                continue;
+            }
+            let heard = self.lock().heard(Instant::now());
+            for (host, address) in heard {
+                if self.ask_one(&peers, &host, address).await {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Asks one host; true if it reaches the store.
+    async fn ask_one(&self, peers: &Peers, host: &Arc<str>, address: SocketAddr) -> bool {
+        let Have { version, revision } = self.router.have();
+        let ask = Ask::Known { version, revision };
+        let known = match peers.call(address, &ask, EXCHANGE_TIME).await {
+            Ok(Reply::Known(Some(bytes))) => Known::decode(&bytes),
+            Ok(_) => return false,
+            Err(error) => {
+                log::debug!("peers: {error}");
+                return false;
+            }
+        };
+        match known {
+            Ok(known) => {
+                self.router.take_known(Instant::now(), known);
+                true
+            }
+            Err(error) => {
+                log::warn!("peers: what host={host} knows cannot be read: {error}");
+                false
+            }
+        }
+    }
+
     fn take(&self, from: &Arc<str>, report: HostReport, hears: bool) {
         let now = Instant::now();
         let (admitted, uses) = {
@@ -211,9 +267,16 @@
 impl Handler for Gossip {
     fn handle<'a>(&'a self, from: &'a HostId, ask: Ask) -> HandlerCall<'a> {
         Box::pin(async move {
-            let Ask::Report { report, hears } = ask else { return Reply::NotOwner };
-            self.take(&from.host, report, hears);
-            Reply::Report(self.report())
+            match ask {
+                Ask::Report { report, hears } => {
+                    self.take(&from.host, report, hears);
+                    Reply::Report(self.report())
+                }
+                Ask::Known { version, revision } => {
+                    Reply::Known(self.known(Have { version, revision }))
+                }
+                _ => Reply::NotOwner,
+            }
         })
     }
 }
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod quota;
 pub mod refusal;
 pub mod relay;
+pub mod relayed;
 pub mod roster;
 pub mod router;
 pub mod serve;
--- a/crates/rosemarypitch-forward/src/roster.rs
+++ b/crates/rosemarypitch-forward/src/roster.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 /// Time in which live upstreams write their entries again after an outage of the store.
@@ -16,7 +17,7 @@
 pub const SETTLE: Duration = Duration::from_millis(2_300);
 
 /// An upstream's own entry.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Upstream {
     /// Identifier.
     pub id: Arc<str>,
@@ -37,7 +38,7 @@
 }
 
 /// Whether an upstream takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamState {
     /// It does.
     Ready,
@@ -46,7 +47,7 @@
 }
 
 /// What an engine does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stage {
     /// Reads prompts.
     Prefill,
@@ -112,9 +113,13 @@
         self.settles
     }
 
+    /// All upstreams.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.entries.values().map(|known| &known.upstream)
+    }
+
     /// Upstreams that may take new work.
     pub fn usable(&self) -> impl Iterator<Item = &Arc<Upstream>> {
-        let all = self.entries.values().map(|known| &known.upstream);
-        all.filter(|upstream| upstream.state == UpstreamState::Ready)
+        self.all().filter(|upstream| upstream.state == UpstreamState::Ready)
     }
 }
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::pool::{Ask, Decision, DecodeEnd, Likely, Pool, Ticket};
 use crate::quota::{Quota, QuotaRules, Share};
+use crate::relayed::{Have, Known};
 use crate::roster::{Roster, Upstream};
 use crate::site::Site;
 use crate::tuning::PoolTuning;
@@ -70,6 +71,9 @@
     pub stopping: watch::Sender<StopPhase>,
     site: RwLock<Option<Arc<Site>>>,
     heard: Mutex<Option<Instant>>,
+    /// Revision of the store that the lists below stand for.
+    revision: AtomicU64,
+    store_lost: AtomicBool,
     share: Mutex<Share>,
     roster: Mutex<Roster>,
     balances: Mutex<HashMap<Arc<str>, Balance>>,
@@ -117,6 +121,8 @@
             stopping: watch::channel(StopPhase::Running).0,
             site: RwLock::new(None),
             heard: Mutex::new(None),
+            revision: AtomicU64::new(0),
+            store_lost: AtomicBool::new(false),
             share: Mutex::new(Share { heard: 1, hosts: 1 }),
             roster: Mutex::new(Roster::default()),
             balances: Mutex::default(),
@@ -153,6 +159,63 @@
         *lock(&self.heard) = Some(now);
     }
 
+    /// Takes note up to where the store has been followed.
+    pub fn set_revision(&self, revision: u64) {
+        self.revision.fetch_max(revision, Ordering::Relaxed);
+        self.metrics.known("revision", revision);
+    }
+
+    /// Says whether the store answers this host; true if that has changed.
+    pub fn set_store_lost(&self, lost: bool) -> bool {
+        self.store_lost.swap(lost, Ordering::Relaxed) != lost
+    }
+
+    /// Whether the store does not answer this host.
+    pub fn is_store_lost(&self) -> bool {
+        self.store_lost.load(Ordering::Relaxed)
+    }
+
+    /// What this host has from the store.
+    pub fn have(&self) -> Have {
+        let version = self.site().map_or(0, |site| site.version);
+        Have { version, revision: self.revision.load(Ordering::Relaxed) }
+    }
+
+    /// What this host can pass on to one that has less; none if it may be behind itself.
+    pub fn known(&self, now: Instant, have: Have) -> Option<Known> {
+        if !self.is_current(now) {
+            return None;
+        }
+        let own = self.have();
+        let site = self.site().filter(|site| site.version > have.version);
+        let upstreams = lock(&self.roster).all().map(|known| known.as_ref().clone()).collect();
+        let known = Known { revision: own.revision, site, upstreams };
+        // Also without news: that the other host is current is news to it.
+        (known.revision >= have.revision).then_some(known)
+    }
+
+    /// Takes what another host has passed on.
+    pub fn take_known(&self, now: Instant, known: Known) {
+        let have = self.have();
+        if known.revision < have.revision {
+            return;
+        }
+        if known.is_news(have) {
+            log::info!(
+                "control: told by a peer revision={} version={} before_revision={}",
+                known.revision,
+                known.site.as_ref().map_or(have.version, |site| site.version),
+                have.revision,
+            );
+            if let Some(site) = known.site {
+                self.set_site(site);
+            }
+            self.update_roster(now, |roster| roster.replace(now, known.upstreams, false));
+            self.set_revision(known.revision);
+        }
+        self.mark_current(now);
+    }
+
     /// Whether the configuration in force is the newest one, for all that is known.
     pub fn is_current(&self, now: Instant) -> bool {
         lock(&self.heard).is_some_and(|at| now.duration_since(at) < CURRENT_TIME)
--- a/crates/rosemarypitch-forward/src/site.rs
+++ b/crates/rosemarypitch-forward/src/site.rs
@@ -7,8 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Site {
     /// Grows with each change.
     pub version: u64,
@@ -34,7 +36,7 @@
 }
 
 /// Where requests under one prefix go.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name.
     pub name: Arc<str>,
@@ -57,7 +59,7 @@
 }
 
 /// What may be repeated on a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// A request may run more than once.
     Idempotent,
@@ -78,7 +80,7 @@
 }
 
 /// A set of upstreams.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name.
     pub name: Arc<str>,
@@ -87,7 +89,7 @@
 }
 
 /// Size of an engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineSize {
     /// Requests at once.
     pub slots: u32,
@@ -100,7 +102,7 @@
 }
 
 /// A customer and its limit.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Customer {
     /// Name.
     pub name: Arc<str>,
@@ -111,7 +113,7 @@
 }
 
 /// Rate and burst, in tokens.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RateLimit {
     /// Tokens a second.
     pub rate: f64,
@@ -120,7 +122,7 @@
 }
 
 /// What callers may send, and how slowly.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallerBounds {
     /// Largest head, in bytes.
     pub header_bytes: usize,
--- a/crates/rosemarypitch-gateway/src/handler.rs
+++ b/crates/rosemarypitch-gateway/src/handler.rs
@@ -41,8 +41,8 @@
             Reply::Done
         }
         Ask::Claim(ask) => Reply::Claim(host.claims.ask_here(ask).await),
-        // Forwarding hosts only; a host of this kind has no such report.
-        Ask::Report { .. } => Reply::NotOwner,
+        // Forwarding hosts only; a host of this kind has nothing of the sort.
+        Ask::Report { .. } | Ask::Known { .. } => Reply::NotOwner,
         Ask::Verify(attempts) => {
             let mut denied = attempts;
             denied.retain(|attempt| !host.running.holds(attempt));
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -40,6 +40,13 @@
         /// Whether the sender has had a report of the receiver lately.
         hears: bool,
     },
+    /// Asks for what the receiver knows from the store, by a host that the store refuses.
+    Known {
+        /// Version of the sender's configuration.
+        version: u64,
+        /// Revision of the store up to which the sender has followed it.
+        revision: u64,
+    },
 }
 
 /// A reply.
@@ -61,6 +68,8 @@
     Denied(Vec<AttemptId>),
     /// What the peer admitted and uses.
     Report(HostReport),
+    /// What the peer knows from the store, encoded; none if that is nothing new.
+    Known(Option<Vec<u8>>),
     /// Taken note.
     Done,
     /// The receiver does not own what was asked about.
