--- a/crates/rosemarypitch-forward/src/quota.rs
+++ b/crates/rosemarypitch-forward/src/quota.rs
@@ -60,6 +60,10 @@
 /// allowance covers what hosts admit before they hear of each other.
 const EARLY_PART: f64 = 0.2;
 
+/// Part of a bucket that is left to small requests: one long prompt counts as much as
+/// dozens of calls of a desk, which a customer's long jobs must not shut out.
+const SMALL_RESERVE: f64 = 0.05;
+
 /// Buckets of one host.
 #[derive(Debug)]
 pub struct Quota {
@@ -96,8 +100,10 @@
         let early = self.rules.allowance * EARLY_PART / share.hosts.max(1) as f64;
         let capacity = self.rules.capacity(limit, share);
         let bucket = self.bucket(now, &customer.name, limit, share);
+        let reserve = capacity * SMALL_RESERVE;
+        let kept = if tokens as f64 > reserve { reserve } else { 0.0 };
         // A request larger than the bucket passes a full one.
-        let need = (tokens as f64 - early).min(capacity).max(0.0);
+        let need = (tokens as f64 + kept - early).min(capacity);
         if bucket.level < need {
             let rate = (limit.rate * share.part()).max(1.0);
             log::info!(
--- a/crates/rosemarypitch-forward/tests/limits.rs
+++ b/crates/rosemarypitch-forward/tests/limits.rs
@@ -127,6 +127,17 @@
     assert!(quota.take(now, &customer, ALONE, 10_000).is_ok());
 }
 
+#[test]
+fn long_jobs_leave_something_to_small_requests() {
+    let now = Instant::now();
+    let customer = customer(Some(LIMIT));
+    let mut quota = Quota::new(RULES, true);
+    while quota.take(now, &customer, ALONE, 14_000).is_ok() {}
+    for _ in 0..20 {
+        assert!(quota.take(now, &customer, ALONE, 200).is_ok());
+    }
+}
+
 #[test]
 fn a_lowered_limit_holds_at_once() {
     let now = Instant::now();
