--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -170,10 +170,7 @@
             report.admitted = quota.admitted().map(|(name, n)| (name.clone(), n)).collect();
         });
         self.router.each_pool(|pool| {
-            let uses = pool.own().map(|(id, streams)| {
-                let streams = streams.iter().map(|stream| (stream.held, stream.growth));
-                (id.clone(), streams.collect())
-            });
+            let uses = pool.own().map(|(id, streams)| (id.clone(), streams));
             report.uses.extend(uses);
         });
         report
--- a/crates/rosemarypitch-forward/src/memory.rs
+++ b/crates/rosemarypitch-forward/src/memory.rs
@@ -4,25 +4,16 @@
 //! ends. Streams of an engine grow alike and end at different times, so the most that they
 //! hold together is less than the sum of what each holds in the end.
 
-/// Memory of one stream, in tokens.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct StreamUse {
-    /// What it holds.
-    pub held: u64,
-    /// What it is likely to add before it ends.
-    pub growth: u64,
-}
+pub use rosemarypitch_peer::StreamUse;
 
 /// Part of the expected output that a stream is likely to add still when it has made as
 /// much or more.
 const OVERDUE_PART: f64 = 0.15;
 
-impl StreamUse {
-    /// Use of a stream that has made `made` tokens of `expected`.
-    pub fn new(prompt: u64, made: u64, expected: u64) -> Self {
-        let overdue = (expected as f64 * OVERDUE_PART) as u64;
-        Self { held: prompt + made, growth: expected.saturating_sub(made).max(overdue) }
-    }
+/// Use of a stream that has made `made` tokens of `expected`.
+pub fn stream(prompt: u64, made: u64, expected: u64) -> StreamUse {
+    let overdue = (expected as f64 * OVERDUE_PART) as u64;
+    StreamUse { held: prompt + made, growth: expected.saturating_sub(made).max(overdue) }
 }
 
 /// The most that streams hold together if nothing is added to them.
--- a/crates/rosemarypitch-forward/src/neighbours.rs
+++ b/crates/rosemarypitch-forward/src/neighbours.rs
@@ -132,8 +132,6 @@
         let mut uses: HashMap<Arc<str>, Vec<StreamUse>> = HashMap::new();
         let reporting = self.hosts.values().filter(|known| known.is_reporting(now, interval));
         for (engine, streams) in reporting.flat_map(|known| &known.report.uses) {
-            let streams =
-                streams.iter().map(|(held, growth)| StreamUse { held: *held, growth: *growth });
             uses.entry(engine.clone()).or_default().extend(streams);
         }
         uses
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -155,7 +155,7 @@
 
 impl Running {
     fn memory(&self) -> StreamUse {
-        StreamUse::new(self.prompt, self.made, self.expected)
+        memory::stream(self.prompt, self.made, self.expected)
     }
 }
 
@@ -458,7 +458,7 @@
     /// The most memory that the engine's streams will hold together with one more.
     fn peak(&self, ask: &Ask) -> u64 {
         let own = self.own.values().map(Running::memory);
-        let new = StreamUse::new(ask.prompt, 0, ask.output);
+        let new = memory::stream(ask.prompt, 0, ask.output);
         memory::peak(own.chain(self.foreign.iter().copied()).chain([new]).collect())
     }
 }
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -83,8 +83,17 @@
     pub incarnation: u64,
     /// Tokens admitted since it started, by customer.
     pub admitted: Vec<(Arc<str>, u64)>,
-    /// Streams at engines: tokens that each holds, and is likely to add.
-    pub uses: Vec<(Arc<str>, Vec<(u64, u64)>)>,
+    /// Streams at each engine.
+    pub uses: Vec<(Arc<str>, Vec<StreamUse>)>,
+}
+
+/// Memory of one stream, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamUse {
+    /// What it holds.
+    pub held: u64,
+    /// What it is likely to add before it ends.
+    pub growth: u64,
 }
 
 /// A heartbeat.
