Reload settings; ask an absent store by one call; gather news

Settings that may change while a host runs are taken on SIGHUP and when the file changes. While the store is away a host asks by one watch instead of four lists; news are gathered for 100 ms.

--- a/crates/rosemarypitch-forward/src/budget.rs
+++ b/crates/rosemarypitch-forward/src/budget.rs
@@ -34,6 +34,11 @@
         Self { rules, requests: VecDeque::new(), repeats: VecDeque::new() }
     }
 
+    /// Changes the bounds.
+    pub fn set_rules(&mut self, rules: RepeatRules) {
+        self.rules = rules;
+    }
+
     /// Counts a caller's request.
     pub fn request(&mut self, now: Instant) {
         self.forget(now);
--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -19,6 +19,9 @@
 /// Longest wait of a watch: with the time to notice a silent one it stays below the two
 /// seconds after which a leaving upstream must get nothing.
 pub const WATCH_WAIT: Duration = Duration::from_millis(1_300);
+/// Time after news in which more news gather: changes come in series, and every host asks
+/// again after each.
+const GATHER_TIME: Duration = Duration::from_millis(100);
 /// First pause after a failed call to the store.
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
 /// Longest pause after failed calls to the store.
@@ -35,10 +38,11 @@
         outage: false,
         pause: FIRST_PAUSE,
         revision: 0,
+        whole: true,
         reread: None,
     };
     loop {
-        if follower.read().await {
+        if !follower.whole || follower.read().await {
             follower.watch().await;
         }
         follower.wait().await;
@@ -53,6 +57,8 @@
     outage: bool,
     pause: Duration,
     revision: u64,
+    /// Whether all that there is has to be read: at first, and when history is gone.
+    whole: bool,
     /// When the hosts whose entries lapsed in an outage are looked at again.
     reread: Option<Instant>,
 }
@@ -77,16 +83,14 @@
         let (upstreams, rest): (Vec<Fact>, Vec<Fact>) =
             facts.facts.into_iter().partition(|fact| matches!(fact, Fact::Upstream(_)));
         let upstreams = upstreams.into_iter().filter_map(upstream).collect();
-        let outage = std::mem::take(&mut self.outage);
+        let outage = self.found();
         let hosts: Vec<Arc<str>> = rest.iter().filter_map(host).collect();
         for fact in rest {
             self.apply(now, fact);
         }
         // Entries of hosts lapse in an outage like those of upstreams, and a host that is
         // counted for too long costs less than one that is not counted.
-        if outage {
-            self.reread = Some(now + gossip::ENTRY_TIME);
-        } else {
+        if !outage {
             self.reread = None;
             self.gossip.keep_hosts(&hosts);
         }
@@ -94,8 +98,7 @@
         self.router.mark_current(now);
         self.revision = facts.revision;
         self.router.set_revision(self.revision);
-        self.router.set_store_lost(false);
-        self.pause = FIRST_PAUSE;
+        self.whole = false;
         self.note_ready();
         self.propose_secret().await;
         true
@@ -116,22 +119,33 @@
         loop {
             let now = Instant::now();
             if self.reread.is_some_and(|at| at <= now) {
+                self.whole = true;
                 self.pause = Duration::ZERO;
                 return;
             }
             let due = self.router.roster_due().map(|due| due.saturating_duration_since(now));
-            let wait = due.unwrap_or(WATCH_WAIT).min(WATCH_WAIT);
+            // After an outage the first watch only asks whether the store is back.
+            let longest = if self.outage { Duration::ZERO } else { WATCH_WAIT };
+            let wait = due.unwrap_or(longest).min(longest);
             let result = self.router.directory.watch(self.revision, wait).await;
             let now = Instant::now();
             match result {
                 Ok(Facts { facts, revision }) => {
                     self.revision = self.revision.max(revision);
+                    if self.found() {
+                        self.router.update_roster(now, |roster| roster.settle(now));
+                    }
+                    let news = !facts.is_empty();
                     self.take(now, facts);
                     self.router.set_revision(self.revision);
                     self.note_ready();
+                    if news {
+                        tokio::time::sleep(GATHER_TIME).await;
+                    }
                 }
                 Err(DirectoryError::Compacted) => {
                     log::info!("control: store history gone revision={}", self.revision);
+                    self.whole = true;
                     self.pause = Duration::ZERO;
                     return;
                 }
@@ -194,6 +208,18 @@
         }
     }
 
+    /// Takes note that the store answers; true if it did not before.
+    fn found(&mut self) -> bool {
+        self.pause = FIRST_PAUSE;
+        self.router.set_store_lost(false);
+        let outage = std::mem::take(&mut self.outage);
+        if outage {
+            log::info!("control: store found revision={}", self.revision);
+            self.reread = Some(Instant::now() + gossip::ENTRY_TIME);
+        }
+        outage
+    }
+
     fn lost(&mut self, error: &DirectoryError) {
         self.outage = true;
         if self.router.set_store_lost(true) {
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -130,6 +130,11 @@
         let mut lease = None;
         let mut failed = false;
         loop {
+            if self.router.is_store_lost() {
+                // The one that follows the store finds out when it is back.
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
             let pause = match self.renew(lease).await {
                 Ok(renewed) => {
                     if std::mem::take(&mut failed) {
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -31,4 +31,4 @@
 pub mod site;
 pub mod tuning;
 
-pub use router::{Router, RouterSettings};
+pub use router::{LimitSettings, Router, RouterSettings};
--- a/crates/rosemarypitch-forward/src/quota.rs
+++ b/crates/rosemarypitch-forward/src/quota.rs
@@ -88,6 +88,11 @@
         Self { rules, full, buckets: HashMap::new() }
     }
 
+    /// Changes what is tolerated.
+    pub fn set_rules(&mut self, rules: QuotaRules) {
+        self.rules = rules;
+    }
+
     /// Takes tokens, or tells when there may be as many.
     pub fn take(
         &mut self,
--- a/crates/rosemarypitch-forward/src/roster.rs
+++ b/crates/rosemarypitch-forward/src/roster.rs
@@ -79,11 +79,16 @@
             self.put(upstream);
         }
         if outage {
-            self.settles = Some(now + SETTLE);
+            self.settle(now);
         }
         self.expire(now);
     }
 
+    /// Keeps missing entries for a time: the store is back from an outage.
+    pub fn settle(&mut self, now: Instant) {
+        self.settles = Some(now + SETTLE);
+    }
+
     /// Takes a new or changed entry.
     pub fn put(&mut self, upstream: Upstream) {
         let known = Known { upstream: Arc::new(upstream), missing: false };
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -47,14 +47,21 @@
     pub threads: usize,
     /// Whether no host has run before.
     pub first_start: bool,
+    /// Settings that may change while the host runs.
+    pub limits: LimitSettings,
+    /// Settings of pools.
+    pub pool: PoolTuning,
+}
+
+/// Settings that may change while the host runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitSettings {
     /// Longest time of a graceful shutdown.
     pub grace: Duration,
     /// Bounds on repeats.
     pub repeats: RepeatRules,
     /// What is tolerated of limits.
     pub quota: QuotaRules,
-    /// Settings of pools.
-    pub pool: PoolTuning,
 }
 
 /// State of one host.
@@ -82,6 +89,7 @@
     used: Notify,
     quota: Mutex<Quota>,
     budgets: Mutex<HashMap<Arc<str>, RepeatBudget>>,
+    limits: Mutex<LimitSettings>,
     tickets: AtomicU64,
     ready: AtomicBool,
 }
@@ -112,7 +120,9 @@
         dialect: Arc<dyn Dialect>,
         directory: Arc<dyn Directory>,
     ) -> Self {
-        let quota = Quota::new(settings.quota, settings.first_start);
+        let limits = settings.limits;
+        let quota = Quota::new(limits.quota, settings.first_start);
+        let limits = Mutex::new(limits);
         Self {
             settings,
             dialect,
@@ -131,11 +141,25 @@
             used: Notify::new(),
             quota: Mutex::new(quota),
             budgets: Mutex::default(),
+            limits,
             tickets: AtomicU64::new(1),
             ready: AtomicBool::new(false),
         }
     }
 
+    /// Settings that may change while the host runs.
+    pub fn limits(&self) -> LimitSettings {
+        *lock(&self.limits)
+    }
+
+    /// Takes changed settings; true if they differ from those in force.
+    pub fn set_limits(&self, limits: LimitSettings) -> bool {
+        let old = std::mem::replace(&mut *lock(&self.limits), limits);
+        self.with_quota(|quota| quota.set_rules(limits.quota));
+        lock(&self.budgets).values_mut().for_each(|budget| budget.set_rules(limits.repeats));
+        old != limits
+    }
+
     /// The configuration in force.
     pub fn site(&self) -> Option<Arc<Site>> {
         self.site.read().unwrap_or_else(|error| error.into_inner()).clone()
@@ -312,8 +336,9 @@
     }
 
     fn with_budget<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
+        let rules = self.limits().repeats;
         let mut budgets = lock(&self.budgets);
-        let fresh = || RepeatBudget::new(self.settings.repeats);
+        let fresh = || RepeatBudget::new(rules);
         f(budgets.entry(service.clone()).or_insert_with(fresh))
     }
 
--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -104,10 +104,11 @@
 
 /// Leaves the balancer, then finishes what is open.
 async fn shut_down(router: &Router, open: &AtomicUsize) {
-    let end = Instant::now() + router.settings.grace.saturating_sub(CUT_MARGIN);
+    let grace = router.limits().grace;
+    let end = Instant::now() + grace.saturating_sub(CUT_MARGIN);
     log::info!("server: stopping open={}", open.load(Ordering::Relaxed));
     router.stopping.send_replace(StopPhase::Leaving);
-    tokio::time::sleep(NOTICE.min(router.settings.grace / 2)).await;
+    tokio::time::sleep(NOTICE.min(grace / 2)).await;
     router.stopping.send_replace(StopPhase::Finishing);
     while open.load(Ordering::Relaxed) > 0 && Instant::now() < end {
         tokio::time::sleep(LOOK).await;
--- a/crates/rosemarypitch-forward/tests/limits.rs
+++ b/crates/rosemarypitch-forward/tests/limits.rs
@@ -224,3 +224,17 @@
     hosts.remove(now + ms(700), "b");
     assert_eq!(hosts.share(now + ms(700)).hosts, 1);
 }
+
+#[test]
+fn changed_settings_hold_at_once() {
+    let now = Instant::now();
+    let customer = customer(Some(LIMIT));
+    let mut quota = Quota::new(RULES, true);
+    assert!(quota.take(now, &customer, ALONE, 1_000).is_ok());
+    quota.set_rules(QuotaRules { overrun: 0.0, allowance: 0.0, ..RULES });
+    assert!(quota.take(now, &customer, ALONE, 45_000).is_ok());
+    assert!(quota.take(now, &customer, ALONE, 45_000).is_err());
+    let mut budget = RepeatBudget::new(REPEATS);
+    budget.set_rules(RepeatRules { allowance: 0.0, ..REPEATS });
+    assert!(!budget.take(now, 1));
+}
--- a/crates/rosemarypitch/src/router.rs
+++ b/crates/rosemarypitch/src/router.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::{Duration, SystemTime};
 
 use rosemarypitch_forward::tuning::PoolTuning;
 use rosemarypitch_forward::{Router, serve};
@@ -15,6 +16,9 @@
 use crate::failure::Failure;
 use crate::logging;
 
+/// Time between looks at the settings file.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Runs a router until SIGTERM or SIGINT, or says what is wrong with its settings.
 pub fn run(options: &RouterOptions) -> Result<(), Failure> {
     let path =
@@ -34,7 +38,7 @@
     log::info!("server: settings file={} {:?}", path.display(), boot);
     let directory = Arc::new(Kv::new(boot.store));
     let router = Arc::new(Router::new(boot.router, Arc::new(Wire), directory));
-    serve::run(router, || stop(path))?;
+    serve::run(router.clone(), || stop(router, path))?;
     logging::flush();
     Ok(())
 }
@@ -53,8 +57,8 @@
     Boot::parse(&text).map_err(|error| Failure::Usage(format!("{}: {error}", path.display())))
 }
 
-/// Waits for a signal to stop; a changed settings file is read when the host starts again.
-async fn stop(path: PathBuf) {
+/// Waits for a signal to stop; takes changed settings in the meantime.
+async fn stop(router: Arc<Router>, path: PathBuf) {
     let signals = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
@@ -64,18 +68,36 @@
         log::error!("server: signals cannot be taken; only a kill ends this process");
         return std::future::pending().await;
     };
+    let mut changed = modified(&path);
     loop {
         tokio::select! {
             _ = terminate.recv() => return,
             _ = interrupt.recv() => return,
-            _ = hangup.recv() => reload(&path),
+            _ = hangup.recv() => reload(&router, &path),
+            // The file may change without a signal.
+            () = tokio::time::sleep(SETTINGS_INTERVAL) => {
+                let now = modified(&path);
+                if now != changed {
+                    changed = now;
+                    reload(&router, &path);
+                }
+            }
         }
     }
 }
 
-fn reload(path: &Path) {
+fn modified(path: &Path) -> Option<SystemTime> {
+    fs::metadata(path).and_then(|file| file.modified()).ok()
+}
+
+/// Takes what may change while the host runs; addresses need a start.
+fn reload(router: &Router, path: &Path) {
     match read(path) {
-        Ok(boot) => log::info!("server: settings reloaded {boot:?}"),
+        Ok(boot) => {
+            let limits = boot.router.limits;
+            let changed = router.set_limits(limits);
+            log::info!("server: settings reloaded changed={changed} {limits:?}");
+        }
         Err(error) => log::error!("server: settings not reloaded: {error}"),
     }
 }
