--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -150,7 +150,7 @@
 ) -> Result<Call, Refusal> {
     check_framing(&head)?;
     let site = router.site().ok_or_else(not_configured)?;
-    let (route, customer) = authorize(router, &site, &head, &facts)?;
+    authorize(router, &site, &head, &facts)?;
     let limit = site.bounds.body_bytes;
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::not_run(Cause::TooLarge));
@@ -158,11 +158,7 @@
     let body = read_body(body, limit).await?;
     // The configuration may have changed while the body came.
     let site = router.site().unwrap_or(site);
-    let (route, customer) = match authorize(router, &site, &head, &facts) {
-        Ok(found) => found,
-        Err(_) if router.site().is_none() => (route, customer),
-        Err(refusal) => return Err(refusal),
-    };
+    let (route, customer) = authorize(router, &site, &head, &facts)?;
     let service = choose_service(&site, &route).ok_or_else(not_configured)?;
     let patience = facts.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = start + patience;
