Ask hosts that are not heard more often

Change: hosts that are not heard are asked ten times a second, whatever the fleet's size. Test a_host_that_is_not_heard_is_asked_more_often.

--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
-use crate::neighbours::Neighbours;
+use crate::neighbours::{self, Neighbours};
 use crate::quota::Share;
 use crate::relayed::{Have, Known};
 use crate::router::Router;
@@ -97,10 +97,16 @@
         let peers = Arc::new(Peers::new(self.id.clone(), secret, traffic));
         tokio::spawn(self.clone().push(peers.clone()));
         tokio::spawn(self.clone().ask_known(peers.clone()));
+        let mut due = Instant::now();
         loop {
-            let (asks, interval) = {
+            let now = Instant::now();
+            let asks = {
                 let neighbours = self.lock();
-                (neighbours.to_ask(), neighbours.interval())
+                let all = due <= now;
+                if all {
+                    due = now + neighbours.interval();
+                }
+                neighbours.to_ask(now, all)
             };
             for (host, address) in asks {
                 // A host that does not answer gets one message at a time.
@@ -108,7 +114,7 @@
                     tokio::spawn(ask(self.clone(), peers.clone(), host, address));
                 }
             }
-            tokio::time::sleep(interval).await;
+            tokio::time::sleep(neighbours::MIN_INTERVAL).await;
             self.update(Instant::now());
         }
     }
--- a/crates/rosemarypitch-forward/src/neighbours.rs
+++ b/crates/rosemarypitch-forward/src/neighbours.rs
@@ -18,7 +18,7 @@
 /// Time between exchanges of two hosts, for each host there is beyond two.
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(20);
 /// Shortest time between exchanges of two hosts; short against a stream of three seconds.
-const MIN_INTERVAL: Duration = Duration::from_millis(100);
+pub const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Exchanges that may be missed before a host counts as unheard.
 const MISSES: u32 = 5;
 
@@ -75,10 +75,15 @@
         (INTERVAL_PER_HOST * others).max(MIN_INTERVAL)
     }
 
-    /// Hosts with which this one begins exchanges.
-    pub fn to_ask(&self) -> Vec<(Arc<str>, SocketAddr)> {
-        let later = self.hosts.iter().filter(|(host, _)| **host > self.own);
-        later.filter_map(|(host, known)| Some((host.clone(), known.address?))).collect()
+    /// Hosts with which this one begins exchanges now: all of them if `due`, else those that
+    /// are not heard yet, since a host that hears nobody may use little of any limit.
+    pub fn to_ask(&self, now: Instant, due: bool) -> Vec<(Arc<str>, SocketAddr)> {
+        let interval = self.interval();
+        let asked = self
+            .hosts
+            .iter()
+            .filter(|(host, known)| **host > self.own && (due || !known.is_heard(now, interval)));
+        asked.filter_map(|(host, known)| Some((host.clone(), known.address?))).collect()
     }
 
     /// Hosts that are heard.
--- a/crates/rosemarypitch-forward/tests/limits.rs
+++ b/crates/rosemarypitch-forward/tests/limits.rs
@@ -238,3 +238,20 @@
     budget.set_rules(RepeatRules { allowance: 0.0, ..REPEATS });
     assert!(!budget.take(now, 1));
 }
+
+#[test]
+fn a_host_that_is_not_heard_is_asked_more_often() {
+    let now = Instant::now();
+    let mut hosts = Neighbours::new(Arc::from("a"));
+    for name in ["b", "c"] {
+        hosts.put(Arc::from(name), "127.0.0.1:9".parse().expect("an address"));
+    }
+    hosts.take(now, &Arc::from("b"), report(1, 0), true);
+    let names = |due| {
+        let mut names: Vec<_> = hosts.to_ask(now, due).into_iter().map(|(name, _)| name).collect();
+        names.sort();
+        names
+    };
+    assert_eq!(names(false), [Arc::from("c")]);
+    assert_eq!(names(true), [Arc::from("b"), Arc::from("c")]);
+}
