--- a/crates/rosemarypitch-forward/src/health.rs
+++ b/crates/rosemarypitch-forward/src/health.rs
@@ -40,8 +40,8 @@
     /// Takes an outcome.
     pub fn note(&mut self, now: Instant, outcome: Outcome) {
         let bad = if outcome == Outcome::Good { 0.0 } else { 1.0 };
-        self.rate +=
-            OUTCOME_WEIGHT * (bad - self.failure_rate(now)) + self.failure_rate(now) - self.rate;
+        let rate = self.failure_rate(now);
+        self.rate = rate + OUTCOME_WEIGHT * (bad - rate);
         self.judged = Some(now);
         match outcome {
             Outcome::Good => {
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -45,18 +45,18 @@
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut ran = Ran::No;
     let mut arrived = 0;
-    let mut ran_at_most = 0;
+    let mut may_have_run = 0;
     let mut unreachable = 0;
     let mut failure = None;
     loop {
-        if arrived > 0 && !may_repeat(router, call, ran, ran_at_most) {
+        if arrived > 0 && !may_repeat(router, call, ran, may_have_run) {
             break;
         }
         let Some(upstream) = choose(router, call, &tried) else { break };
         tried.push(upstream.id.clone());
         match send(router, call, &upstream).await {
             Sent::Answer(answer) => {
-                ran_at_most += 1;
+                may_have_run += 1;
                 let failed = answer.status().is_server_error();
                 if !failed || !call.route.kind.is_repeatable() {
                     return Ok(deliver(router, answer));
@@ -70,7 +70,7 @@
             Sent::Lost => {
                 ran = Ran::Maybe;
                 arrived += 1;
-                ran_at_most += 1;
+                may_have_run += 1;
             }
         }
         if unreachable >= MAX_UNREACHABLE || call.left(Instant::now()).is_zero() {
@@ -99,10 +99,10 @@
 }
 
 /// Whether the request may go to one more server.
-fn may_repeat(router: &Router, call: &Call, ran: Ran, ran_at_most: u32) -> bool {
+fn may_repeat(router: &Router, call: &Call, ran: Ran, may_have_run: u32) -> bool {
     let now = Instant::now();
     let safe = ran == Ran::No || call.route.kind.is_repeatable();
-    safe && ran_at_most < call.route.sends && router.take_repeat(now, &call.service.name)
+    safe && may_have_run < call.route.sends && router.take_repeat(now, &call.service.name)
 }
 
 fn choose(router: &Router, call: &Call, tried: &[Arc<str>]) -> Option<Arc<Upstream>> {
