Go on with a broken stream at another engine; pass plain streams event by event

Cause: a stream whose engine broke off or fell silent ended for the caller, also where the route lets another engine go on; an engine that would not run a request in spite of its reserved slot (a lapsed KV cache) ended it with 503 after the prompt had been read; streams of services without engines were read whole before their first event reached the caller.

Change: the relay passes on whole events and knows the last one; where the route allows it and the budgets hold, the next engine begins after it. Failed attempts that have not run, or may run again, go to another engine. A prompt's reader is judged by whether its cache could be fetched. generate and plain are split by step.

Tests failed first where the behaviour is new: platform path another_engine_goes_on (4 cases), a_plain_service_streams (4), a_plain_stream_reaches_the_caller; forward events.

--- a/crates/rosemarypitch-forward/src/edge.rs
+++ b/crates/rosemarypitch-forward/src/edge.rs
@@ -65,12 +65,23 @@
     pub customer: Option<&'a str>,
     /// How long the upstream may work.
     pub patience: Duration,
-    /// Whether the caller may name the event after which a stream goes on.
-    pub resumes: bool,
+    /// After which event the answer begins.
+    pub resume: Resume<'a>,
     /// What an engine is to do.
     pub stage: SendStage<'a>,
 }
 
+/// After which event of a stream an answer begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resume<'a> {
+    /// At the beginning, whatever the caller says.
+    Never,
+    /// After the event that the caller names, if any.
+    Callers,
+    /// After this event, which the caller has had.
+    After(&'a str),
+}
+
 /// What an upstream is to do with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SendStage<'a> {
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod client;
 pub mod control;
 pub mod edge;
+pub mod events;
 pub mod generate;
 pub mod gossip;
 pub mod health;
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -2,9 +2,12 @@
 //!
 //! The request goes to one server after another while it has certainly not run, or while
 //! it may run again. Answers are read whole before any byte reaches the caller, so that a
-//! broken one never looks complete and a repeatable request can be sent again.
+//! broken one never looks complete and a repeatable request can be sent again. Streams are
+//! passed on event by event; one that may be resumed goes on at another server.
 
-use std::sync::Arc;
+mod send;
+
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,99 +15,165 @@
 use tokio::time::Instant;
 
 use crate::call::Call;
-use crate::client::{self, SendError, SendStep};
-use crate::edge::{AnswerHead, SendStage, Sending};
-use crate::health::Outcome;
+use crate::edge::{AnswerHead, Resume, Sending};
+use crate::events::Position;
 use crate::refusal::{Cause, Ran, Refusal};
-use crate::relay::{self, AnswerBody};
+use crate::relay::{self, AnswerBody, Opened, Resuming, Resumption, Stream};
 use crate::roster::Upstream;
 use crate::router::Router;
 use crate::site::RouteKind;
 
+use send::Sent;
+
 /// Most servers that are tried without a connection to any; each costs the connect time.
 const MAX_UNREACHABLE: u32 = 4;
-/// Targets after which a silent server's request is sent to another, if it may be repeated.
-const PATIENCE_TARGETS: u32 = 3;
 /// Time after which a caller that found all servers full may come back; several calls' work.
 const FULL_RETRY: Duration = Duration::from_millis(200);
 
-/// What became of one send.
-enum Sent {
-    /// A whole answer of the upstream, which is signed by it.
-    Answer(Response<Bytes>),
-    /// The upstream says that it has not run the request.
-    NotRun,
-    /// The upstream was not reached.
-    Unsent,
-    /// Anything else: it may have run.
-    Lost,
+/// Runs a request.
+pub async fn run(router: &Arc<Router>, call: &Arc<Call>) -> Result<Response<AnswerBody>, Refusal> {
+    let mut tries = Tries::default();
+    match open(router, call, &mut tries, None).await? {
+        Answer::Whole(answer) => Ok(deliver(router, answer)),
+        Answer::Stream(opened) => {
+            let resumes = call.route.kind.may_run_again();
+            let resumption = resumes.then(|| resumption(router, call, tries));
+            let response = relay::response(router, opened, |segment| {
+                Stream::relay(segment, call.deadline, resumption)
+            });
+            Ok(response)
+        }
+    }
 }
 
-/// Runs a request.
-pub async fn run(router: &Arc<Router>, call: &Call) -> Result<Response<AnswerBody>, Refusal> {
-    let mut tried: Vec<Arc<str>> = Vec::new();
-    let mut ran = Ran::No;
-    let mut arrived = 0;
-    let mut may_have_run = 0;
-    let mut unreachable = 0;
-    let mut failure = None;
-    loop {
-        if arrived > 0 && !may_repeat(router, call, ran, may_have_run) {
-            break;
+/// How a stream goes on when its server breaks off.
+fn resumption(router: &Arc<Router>, call: &Arc<Call>, tries: Tries) -> Resumption {
+    let (router, call) = (router.clone(), call.clone());
+    let silence = relay::silence(&call.route);
+    // Only one attempt to go on is under way at a time.
+    let tries = Arc::new(Mutex::new(tries));
+    let next = Box::new(move |position: Position| {
+        let (router, call, tries) = (router.clone(), call.clone(), tries.clone());
+        let mut present = tries.lock().unwrap_or_else(|error| error.into_inner()).clone();
+        if !present.may_go_on(&router, &call) {
+            return None;
         }
-        let Some(upstream) = choose(router, call, &tried) else { break };
-        tried.push(upstream.id.clone());
-        match send(router, call, &upstream).await {
+        let resuming: Resuming = Box::pin(async move {
+            let opened = open(&router, &call, &mut present, Some(&position)).await;
+            *tries.lock().unwrap_or_else(|error| error.into_inner()) = present;
+            relay::log_resumed(&call, &position, opened.as_ref().err());
+            match opened {
+                Ok(Answer::Stream(opened)) => Some(opened.segment),
+                Ok(Answer::Whole(_)) | Err(_) => None,
+            }
+        });
+        Some(resuming)
+    });
+    Resumption { silence, next }
+}
+
+/// What became of a request.
+enum Answer {
+    /// A whole answer.
+    Whole(Response<Bytes>),
+    /// A stream that has begun.
+    Stream(Opened),
+}
+
+/// What has become of a request so far.
+#[derive(Clone)]
+struct Tries {
+    /// Servers that it was sent to.
+    tried: Vec<Arc<str>>,
+    ran: Ran,
+    /// Servers that had it.
+    arrived: u32,
+    /// Servers that may have run it.
+    runs: u32,
+    unreachable: u32,
+    /// The answer of a server that failed.
+    failure: Option<Response<Bytes>>,
+}
+
+impl Default for Tries {
+    fn default() -> Self {
+        let tried = Vec::new();
+        Self { tried, ran: Ran::No, arrived: 0, runs: 0, unreachable: 0, failure: None }
+    }
+}
+
+impl Tries {
+    /// Whether the request may go to one more server.
+    fn may_go_on(&self, router: &Router, call: &Call) -> bool {
+        if self.unreachable >= MAX_UNREACHABLE || call.left(Instant::now()).is_zero() {
+            return false;
+        }
+        if self.arrived == 0 {
+            return true;
+        }
+        let safe = self.ran == Ran::No || call.route.kind.may_run_again();
+        let left = self.runs < call.route.sends;
+        safe && left && router.take_repeat(Instant::now(), &call.service.name)
+    }
+
+    fn note_run(&mut self) {
+        self.ran = Ran::Maybe;
+        self.arrived += 1;
+        self.runs += 1;
+    }
+}
+
+/// Brings a request to servers until one answers.
+async fn open(
+    router: &Arc<Router>,
+    call: &Arc<Call>,
+    tries: &mut Tries,
+    after: Option<&Position>,
+) -> Result<Answer, Refusal> {
+    while let Some(upstream) = choose(router, call, &tries.tried) {
+        tries.tried.push(upstream.id.clone());
+        match send::send(router, call, &upstream, after).await {
+            Sent::Stream(opened) => {
+                tries.note_run();
+                return Ok(Answer::Stream(opened));
+            }
             Sent::Answer(answer) => {
-                may_have_run += 1;
+                tries.note_run();
                 let failed = answer.status().is_server_error();
-                if !failed || !call.route.kind.is_repeatable() {
-                    return Ok(deliver(router, answer));
+                if !failed || !call.route.kind.may_run_again() {
+                    return Ok(Answer::Whole(answer));
                 }
-                ran = Ran::Maybe;
-                arrived += 1;
-                failure = Some(answer);
-            }
-            Sent::NotRun => arrived += 1,
-            Sent::Unsent => unreachable += 1,
-            Sent::Lost => {
-                ran = Ran::Maybe;
-                arrived += 1;
-                may_have_run += 1;
+                tries.failure = Some(answer);
             }
+            Sent::NotRun => tries.arrived += 1,
+            Sent::Unsent => tries.unreachable += 1,
+            Sent::Lost => tries.note_run(),
         }
-        if unreachable >= MAX_UNREACHABLE || call.left(Instant::now()).is_zero() {
+        if !tries.may_go_on(router, call) {
             break;
         }
     }
-    if let Some(answer) = failure {
-        return Ok(deliver(router, answer));
+    if let Some(answer) = tries.failure.take() {
+        return Ok(Answer::Whole(answer));
     }
-    Err(refusal(call, ran, arrived))
+    Err(refusal(call, tries))
 }
 
-fn refusal(call: &Call, ran: Ran, arrived: u32) -> Refusal {
-    let cause = match (ran, arrived) {
+fn refusal(call: &Call, tries: &Tries) -> Refusal {
+    let cause = match (tries.ran, tries.arrived) {
         _ if call.left(Instant::now()).is_zero() => Cause::Timeout,
         (Ran::Maybe, _) => Cause::UpstreamFailed,
         (Ran::No, 0) => Cause::NoUpstream,
         (Ran::No, _) => Cause::Busy,
     };
-    let refusal = Refusal::new(cause, ran);
-    if ran == Ran::No {
+    let refusal = Refusal::new(cause, tries.ran);
+    if tries.ran == Ran::No {
         refusal.after(FULL_RETRY.mul_f64(rand::random_range(0.7..1.6)))
     } else {
         refusal
     }
 }
 
-/// Whether the request may go to one more server.
-fn may_repeat(router: &Router, call: &Call, ran: Ran, may_have_run: u32) -> bool {
-    let now = Instant::now();
-    let safe = ran == Ran::No || call.route.kind.is_repeatable();
-    safe && may_have_run < call.route.sends && router.take_repeat(now, &call.service.name)
-}
-
 fn choose(router: &Router, call: &Call, tried: &[Arc<str>]) -> Option<Arc<Upstream>> {
     let now = Instant::now();
     let zone = &router.settings.zone;
@@ -114,59 +183,6 @@
     chosen.flatten()
 }
 
-async fn send(router: &Arc<Router>, call: &Call, upstream: &Upstream) -> Sent {
-    let start = Instant::now();
-    let left = call.left(start);
-    let limit = match call.route.kind {
-        RouteKind::Idempotent => left.min(call.route.target * PATIENCE_TARGETS),
-        _ => left,
-    };
-    let open = Open { router, service: &call.service.name, id: &upstream.id, outcome: None };
-    let request = build(router, call, upstream, left);
-    let exchange = client::send_whole(upstream.address, request);
-    let result = tokio::time::timeout(limit, exchange).await;
-    let (sent, outcome, detail) = match result {
-        Ok(Ok(response)) => judge(router, call, upstream, response),
-        Ok(Err(error)) => judge_error(&error),
-        Err(_) => (Sent::Lost, Outcome::Failed, "silent".to_owned()),
-    };
-    open.finish(outcome);
-    router.metrics.send("plain", if outcome == Outcome::Good { "ok" } else { "failed" });
-    log::info!(
-        "call: sent attempt={} route={} upstream={} outcome=\"{detail}\" took_ms={} left_ms={}",
-        call.facts.attempt,
-        call.route.name,
-        upstream.id,
-        start.elapsed().as_millis(),
-        left.as_millis(),
-    );
-    sent
-}
-
-fn judge(
-    router: &Router,
-    call: &Call,
-    upstream: &Upstream,
-    response: Response<Bytes>,
-) -> (Sent, Outcome, String) {
-    let (head, body) = response.into_parts();
-    let facts = router.dialect.answer_head(&head);
-    if let Some(load) = facts.load {
-        let now = Instant::now();
-        router.with_balance(&call.service.name, |balance| balance.report(now, &upstream.id, load));
-    }
-    let status = head.status;
-    match classify(&facts, &call.facts.attempt, status) {
-        Verdict::NotRun => (Sent::NotRun, Outcome::Failed, format!("not run {status}")),
-        Verdict::Foreign => (Sent::Lost, Outcome::Failed, "foreign answer".to_owned()),
-        Verdict::Own => {
-            let outcome = if status.is_server_error() { Outcome::Failed } else { Outcome::Good };
-            let answer = Response::from_parts(head, body);
-            (Sent::Answer(answer), outcome, status.as_u16().to_string())
-        }
-    }
-}
-
 /// Whose answer an answer is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -194,24 +210,15 @@
     Verdict::Own
 }
 
-fn judge_error(error: &SendError) -> (Sent, Outcome, String) {
-    match error.step {
-        SendStep::Connect => (Sent::Unsent, Outcome::Unreachable, error.to_string()),
-        SendStep::Answer | SendStep::Body => (Sent::Lost, Outcome::Failed, error.to_string()),
+/// After which event an upstream is to begin.
+pub fn resume<'a>(call: &Call, after: Option<&'a Position>) -> Resume<'a> {
+    match (call.route.kind, after.and_then(|position| position.last.as_deref())) {
+        (RouteKind::Stream { resumable: true }, Some(event)) => Resume::After(event),
+        (RouteKind::Stream { resumable: true }, None) => Resume::Callers,
+        _ => Resume::Never,
     }
 }
 
-fn build(router: &Router, call: &Call, upstream: &Upstream, left: Duration) -> Request<Bytes> {
-    let sending = Sending {
-        upstream: &upstream.id,
-        customer: call.customer.as_ref().map(|customer| customer.name.as_ref()),
-        patience: left,
-        resumes: matches!(call.route.kind, RouteKind::Stream { resumable: true }),
-        stage: SendStage::Run { hold: None, source: None },
-    };
-    request(router, call, &sending)
-}
-
 /// The request as it goes to an upstream.
 pub fn request(router: &Router, call: &Call, sending: &Sending<'_>) -> Request<Bytes> {
     let mut request = Request::new(call.body.clone());
@@ -222,32 +229,10 @@
 }
 
 /// An upstream's answer for the caller.
-pub fn deliver(router: &Router, answer: Response<Bytes>) -> Response<AnswerBody> {
+fn deliver(router: &Router, answer: Response<Bytes>) -> Response<AnswerBody> {
     let (head, body) = answer.into_parts();
     let mut response = Response::new(relay::whole(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = router.dialect.caller_headers(&head);
     response
 }
-
-/// A request that a server has; counted off on every way out.
-struct Open<'a> {
-    router: &'a Router,
-    service: &'a str,
-    id: &'a str,
-    outcome: Option<Outcome>,
-}
-
-impl Open<'_> {
-    fn finish(mut self, outcome: Outcome) {
-        self.outcome = Some(outcome);
-    }
-}
-
-impl Drop for Open<'_> {
-    fn drop(&mut self) {
-        let now = Instant::now();
-        let outcome = self.outcome;
-        self.router.with_balance(self.service, |balance| balance.finish(now, self.id, outcome));
-    }
-}
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -405,9 +405,16 @@
         let Some(engine) = self.engines.get_mut(id) else { return };
         engine.reading = engine.reading.saturating_sub(prompt);
         match end {
-            PrefillEnd::Read(_) => engine.health.note(now, Outcome::Good),
             PrefillEnd::Failed(outcome) => engine.health.note(now, outcome),
-            PrefillEnd::Cancelled => {}
+            // Whether the cache is of use is known once another engine has fetched it.
+            PrefillEnd::Read(_) | PrefillEnd::Cancelled => {}
+        }
+    }
+
+    /// Takes an outcome of an engine.
+    pub fn note(&mut self, now: Instant, id: &str, outcome: Outcome) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.health.note(now, outcome);
         }
     }
 
--- a/crates/rosemarypitch-forward/src/site.rs
+++ b/crates/rosemarypitch-forward/src/site.rs
@@ -48,6 +48,8 @@
     pub timeout: Duration,
     /// Time to the answer, or to the first event, that earns full credit.
     pub target: Duration,
+    /// Longest pause between events of a stream that is in time.
+    pub gap: Option<Duration>,
     /// Rank; 0 goes first.
     pub priority: u8,
     /// Services and their weights.
@@ -73,9 +75,14 @@
 }
 
 impl RouteKind {
-    /// Whether a request that may have run may be sent again.
-    pub fn is_repeatable(self) -> bool {
-        self == Self::Idempotent
+    /// Whether a request that may have run may be sent again, a stream after the last event.
+    pub fn may_run_again(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Stream { resumable: true })
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
     }
 }
 
--- a/crates/rosemarypitch-forward/tests/relayed.rs
+++ b/crates/rosemarypitch-forward/tests/relayed.rs
@@ -14,6 +14,7 @@
         prefix: Arc::from("/a/"),
         kind: RouteKind::Stream { resumable: true },
         timeout: std::time::Duration::from_secs(14),
+        gap: None,
         target: std::time::Duration::from_millis(900),
         priority: 1,
         split: vec![(Arc::from("desk"), 1)],
