--- /dev/null
+++ b/crates/rosemarypitch-forward/src/announce.rs
@@ -0,0 +1,70 @@
+//! This host's entry in the store, and the secret that the hosts share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::edge::DirectoryError;
+use crate::neighbours::HostEntry;
+use crate::router::Router;
+
+/// Time for which a host's entry outlives the host's last word to the store. Longer than
+/// cuts usually last, so that a host that is cut off keeps the share that it still uses.
+pub const ENTRY_TIME: Duration = Duration::from_secs(15);
+/// Time between renewals of the entry; three may be missed.
+const RENEWAL: Duration = Duration::from_secs(4);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Length of the secret that a host proposes, in random 64-bit words.
+const SECRET_WORDS: usize = 4;
+
+/// Keeps this host's entry in the store until the process ends.
+pub async fn announce(router: Arc<Router>) {
+    let mut lease = None;
+    let mut failed = false;
+    loop {
+        if router.is_store_lost() {
+            // The one that follows the store finds out when it is back.
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        let pause = match renew(&router, lease).await {
+            Ok(renewed) => {
+                if std::mem::take(&mut failed) {
+                    log::info!("peers: entry renewed again lease={renewed}");
+                }
+                lease = Some(renewed);
+                RENEWAL
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut failed, true) {
+                    log::info!("peers: entry not renewed: {error}");
+                }
+                RETRY_PAUSE
+            }
+        };
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.0))).await;
+    }
+}
+
+async fn renew(router: &Router, lease: Option<u64>) -> Result<u64, DirectoryError> {
+    let directory = &router.directory;
+    if let Some(lease) = lease
+        && directory.keep(lease).await?
+    {
+        return Ok(lease);
+    }
+    let lease = directory.lease(ENTRY_TIME).await?;
+    let entry = HostEntry { address: router.settings.peers, zone: router.settings.zone.clone() };
+    let entry = Bytes::from(serde_json::json!(entry).to_string());
+    directory.announce(&router.settings.host, entry, lease).await?;
+    log::info!("peers: entry written lease={lease}");
+    Ok(lease)
+}
+
+/// A secret for the hosts to share.
+pub fn new_secret() -> String {
+    let words = std::iter::repeat_with(rand::random::<u64>).take(SECRET_WORDS);
+    words.map(|word| format!("{word:016x}")).collect()
+}
--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -249,7 +249,9 @@
     let Some(customer) = &call.customer else { return Ok(()) };
     let tokens = counted_tokens(call, customer);
     let share = router.share();
-    let taken = router.with_quota(|quota| quota.take(Instant::now(), customer, share, tokens));
+    let draw = rand::random_range(0.0..1.0);
+    let taken =
+        router.with_quota(|quota| quota.take(Instant::now(), customer, share, tokens, draw));
     taken.map_err(|retry| Refusal::not_run(Cause::OverLimit).after(retry))
 }
 
--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -11,9 +11,10 @@
 
 use tokio::sync::oneshot;
 
+use crate::announce;
 use crate::edge::{DirectoryError, Fact, Facts};
-use crate::gossip::{self, Gossip};
-use crate::roster::Upstream;
+use crate::gossip::Gossip;
+use crate::roster::{Roster, Upstream};
 use crate::router::Router;
 
 /// Longest wait of a watch: with the time to notice a silent one it stays below the two
@@ -109,7 +110,7 @@
         if self.secret.is_none() {
             return;
         }
-        if let Err(error) = self.router.directory.propose_secret(&gossip::new_secret()).await {
+        if let Err(error) = self.router.directory.propose_secret(&announce::new_secret()).await {
             log::info!("control: no secret proposed: {error}");
         }
     }
@@ -157,11 +158,17 @@
     fn take(&mut self, now: Instant, facts: Vec<Fact>) {
         let changed = !facts.is_empty() || self.router.roster_due().is_some();
         self.router.mark_current(now);
-        for fact in facts {
+        let (upstreams, rest): (Vec<Fact>, Vec<Fact>) = facts
+            .into_iter()
+            .partition(|fact| matches!(fact, Fact::Upstream(_) | Fact::NoUpstream(_)));
+        for fact in rest {
             self.apply(now, fact);
         }
         if changed {
-            let gone = self.router.update_roster(now, |roster| roster.expire(now));
+            let gone = self.router.update_roster(now, |roster| {
+                upstreams.into_iter().for_each(|fact| apply_upstream(now, roster, fact));
+                roster.expire(now)
+            });
             for id in gone {
                 log::info!("control: upstream gone upstream={id}");
             }
@@ -176,20 +183,8 @@
                     log::info!("control: configuration in force version={version} hosts={routes}");
                 }
             }
-            Fact::Upstream(upstream) => {
-                log::info!(
-                    "control: upstream id={} service={} state={:?} stage={:?} born={}",
-                    upstream.id,
-                    upstream.service,
-                    upstream.state,
-                    upstream.stage,
-                    upstream.born,
-                );
-                self.router.update_roster(now, |roster| roster.put(upstream));
-            }
-            Fact::NoUpstream(id) => {
-                log::info!("control: upstream entry gone upstream={id}");
-                self.router.update_roster(now, |roster| roster.remove(now, &id));
+            Fact::Upstream(_) | Fact::NoUpstream(_) => {
+                self.router.update_roster(now, |roster| apply_upstream(now, roster, fact));
             }
             Fact::Host(host, entry) => self.gossip.put_host(host, &entry),
             Fact::NoHost(host) => self.gossip.remove_host(&host),
@@ -215,7 +210,7 @@
         let outage = std::mem::take(&mut self.outage);
         if outage {
             log::info!("control: store found revision={}", self.revision);
-            self.reread = Some(Instant::now() + gossip::ENTRY_TIME);
+            self.reread = Some(Instant::now() + announce::ENTRY_TIME);
         }
         outage
     }
@@ -233,6 +228,28 @@
     }
 }
 
+/// Takes what the store says of an upstream; the rest says nothing here.
+fn apply_upstream(now: Instant, roster: &mut Roster, fact: Fact) {
+    match fact {
+        Fact::Upstream(upstream) => {
+            log::info!(
+                "control: upstream id={} service={} state={:?} stage={:?} born={}",
+                upstream.id,
+                upstream.service,
+                upstream.state,
+                upstream.stage,
+                upstream.born,
+            );
+            roster.put(upstream);
+        }
+        Fact::NoUpstream(id) => {
+            log::info!("control: upstream entry gone upstream={id}");
+            roster.remove(now, &id);
+        }
+        Fact::Site(_) | Fact::Host(..) | Fact::NoHost(_) | Fact::Secret(_) => {}
+    }
+}
+
 fn upstream(fact: Fact) -> Option<Upstream> {
     match fact {
         Fact::Upstream(upstream) => Some(upstream),
--- /dev/null
+++ b/crates/rosemarypitch-forward/src/far.rs
@@ -0,0 +1,116 @@
+//! What is known of the hosts of other rows, by way of partners.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemarypitch_peer::{RowReport, StreamUse};
+use tokio::time::Instant;
+
+use crate::layout::{Layout, RowId};
+use crate::neighbours::{self, News};
+
+/// Time between exchanges with partners; a part of the second in which a burst shows.
+pub const FAR_INTERVAL: Duration = Duration::from_millis(250);
+/// Exchanges that may be missed before a row counts as unheard.
+const MISSES: u32 = 5;
+/// Exchanges that may be missed before another partner of the row is asked.
+const PARTNER_MISSES: u32 = 2;
+
+/// The other rows.
+#[derive(Debug, Default)]
+pub struct Far {
+    rows: HashMap<RowId, Row>,
+}
+
+#[derive(Debug, Default)]
+struct Row {
+    /// The partner whose reports are counted, with its last one.
+    heard: Option<Heard>,
+    /// How many partners have failed.
+    turn: usize,
+    /// When a partner was last asked in vain, or first asked.
+    asked: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Heard {
+    from: Arc<str>,
+    report: RowReport,
+    at: Instant,
+}
+
+impl Heard {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) <= FAR_INTERVAL * MISSES
+    }
+}
+
+impl Far {
+    /// Partners to ask, one in each other row.
+    pub fn to_ask(&mut self, now: Instant, layout: &Layout) -> Vec<Arc<str>> {
+        self.rows.retain(|id, _| layout.others().any(|other| other == id));
+        let mut partners = Vec::new();
+        for id in layout.others() {
+            let row = self.rows.entry(id.clone()).or_default();
+            let last = row.heard.as_ref().map(|heard| heard.at).max(row.asked);
+            let since = last.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+            if since > FAR_INTERVAL * PARTNER_MISSES {
+                row.turn += 1;
+                row.asked = Some(now);
+            }
+            row.asked = row.asked.or(Some(now));
+            partners.extend(layout.partner(id, row.turn).cloned());
+        }
+        partners
+    }
+
+    /// Takes a row's report; gives what happened there since the last one.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        layout: &Layout,
+        from: &Arc<str>,
+        report: RowReport,
+    ) -> News {
+        let Some(id) = layout.row_of(from).filter(|_| !layout.is_near(from)) else {
+            return Vec::new();
+        };
+        let row = self.rows.entry(id.clone()).or_default();
+        let (changes, counted) = match &row.heard {
+            Some(heard) if heard.from == *from => {
+                let same = heard.report.incarnation == report.incarnation;
+                let old = if same { heard.report.spent.as_slice() } else { &report.spent };
+                (neighbours::changes(old, &report.spent), true)
+            }
+            // One partner at a time: two would be counted twice.
+            Some(heard) if heard.is_fresh(now) => (Vec::new(), false),
+            _ => (Vec::new(), true),
+        };
+        if counted {
+            row.heard = Some(Heard { from: from.clone(), report, at: now });
+        }
+        changes
+    }
+
+    /// Reports of the rows that are heard.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = &RowReport> {
+        let heard = self.rows.values().filter_map(|row| row.heard.as_ref());
+        heard.filter(move |heard| heard.is_fresh(now)).map(|heard| &heard.report)
+    }
+
+    /// Partners that are heard.
+    pub fn partners(&self, now: Instant) -> impl Iterator<Item = &Arc<str>> {
+        let heard = self.rows.values().filter_map(|row| row.heard.as_ref());
+        heard.filter(move |heard| heard.is_fresh(now)).map(|heard| &heard.from)
+    }
+
+    /// What the rows that are heard use of each engine, as that many even streams.
+    pub fn uses(&self, now: Instant) -> impl Iterator<Item = (&Arc<str>, Vec<StreamUse>)> {
+        self.heard(now).flat_map(|report| &report.uses).map(|(engine, sum)| {
+            let count = u64::from(sum.streams.max(1));
+            let even = StreamUse { held: sum.held / count, growth: sum.growth / count };
+            (engine, vec![even; sum.streams as usize])
+        })
+    }
+}
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -1,41 +1,35 @@
-//! Exchanges with the other hosts, and this host's entry in the store.
+//! Exchanges with the other hosts.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use bytes::Bytes;
 use rosemarypitch_limit::HostId;
 use rosemarypitch_peer::{
-    Ask, Handler, HandlerCall, HostReport, Link, PeerServer, Peers, Reply, Traffic,
+    Ask, Handler, HandlerCall, HostReport, Link, PeerServer, Peers, Reply, RowReport, Traffic,
 };
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::neighbours::{self, Neighbours};
+use crate::far::FAR_INTERVAL;
+use crate::neighbours::{self, HostEntry, Neighbours, News};
 use crate::quota::Share;
 use crate::relayed::{Have, Known};
 use crate::router::Router;
 
-/// Time for which a host's entry outlives the host's last word to the store. Longer than
-/// cuts usually last, so that a host that is cut off keeps the share that it still uses.
-pub const ENTRY_TIME: Duration = Duration::from_secs(15);
-/// Time between renewals of the entry; three may be missed.
-const RENEWAL: Duration = Duration::from_secs(4);
-/// Pause after a failed call to the store.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Time in which changes of the engines in use are gathered before the others are told. A
 /// placement that crosses another within it may share an engine's last slot; the engine
 /// then refuses one of them.
 const PUSH_PAUSE: Duration = Duration::from_millis(15);
+/// Time in which reports of others gather before they are applied; short against a push.
+const APPLY_PAUSE: Duration = Duration::from_millis(3);
 /// Time between questions to the others while the store is lost; a small part of the two
 /// seconds in which a configuration has to be in force.
 const KNOWN_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest time for an exchange with a host.
 const EXCHANGE_TIME: Duration = Duration::from_millis(300);
-/// Length of the secret that a host proposes, in random 64-bit words.
-const SECRET_WORDS: usize = 4;
 
 /// What a host knows of the others.
 pub struct Gossip {
@@ -44,6 +38,8 @@
     neighbours: Mutex<Neighbours>,
     /// Hosts with which an exchange is under way.
     asking: Mutex<HashSet<Arc<str>>>,
+    /// Tells that a report has come.
+    reported: Notify,
 }
 
 impl Gossip {
@@ -51,16 +47,16 @@
     pub fn new(router: Arc<Router>) -> Arc<Self> {
         let host = router.settings.host.clone();
         let id = HostId { host: host.clone(), incarnation: incarnation() };
-        let neighbours = Mutex::new(Neighbours::new(host));
-        Arc::new(Self { router, id, neighbours, asking: Mutex::default() })
+        let neighbours = Mutex::new(Neighbours::new(host, router.settings.zone.clone()));
+        let (asking, reported) = (Mutex::default(), Notify::new());
+        Arc::new(Self { router, id, neighbours, asking, reported })
     }
 
     /// Takes a host's entry.
     pub fn put_host(&self, host: Arc<str>, entry: &[u8]) {
-        let address = std::str::from_utf8(entry).ok().and_then(|text| text.parse().ok());
-        match address {
-            Some(address) => self.lock().put(host, address),
-            None => log::warn!("peers: entry of host={host} is no address"),
+        match serde_json::from_slice::<HostEntry>(entry) {
+            Ok(entry) => self.lock().put(host, entry),
+            Err(error) => log::warn!("peers: entry of host={host} cannot be read: {error}"),
         }
         self.update_share(Instant::now());
     }
@@ -97,88 +93,84 @@
         let peers = Arc::new(Peers::new(self.id.clone(), secret, traffic));
         tokio::spawn(self.clone().push(peers.clone()));
         tokio::spawn(self.clone().ask_known(peers.clone()));
+        tokio::spawn(self.clone().ask_partners(peers.clone()));
+        tokio::spawn(self.clone().apply());
         let mut due = Instant::now();
         loop {
             let now = Instant::now();
             let asks = {
-                let neighbours = self.lock();
+                let mut neighbours = self.lock();
                 let all = due <= now;
                 if all {
                     due = now + neighbours.interval();
                 }
                 neighbours.to_ask(now, all)
             };
-            for (host, address) in asks {
-                // A host that does not answer gets one message at a time.
-                if lock(&self.asking).insert(host.clone()) {
-                    tokio::spawn(ask(self.clone(), peers.clone(), host, address));
-                }
-            }
+            self.ask(&peers, asks, Talk::Row);
             tokio::time::sleep(neighbours::MIN_INTERVAL).await;
             self.update(Instant::now());
         }
     }
 
-    /// Tells the others at once when this host uses other engines than before.
+    /// Begins exchanges, but none with a host with which one is under way.
+    fn ask(self: &Arc<Self>, peers: &Arc<Peers>, hosts: Vec<(Arc<str>, SocketAddr)>, talk: Talk) {
+        for (host, address) in hosts {
+            if lock(&self.asking).insert(host.clone()) {
+                let (gossip, peers) = (self.clone(), peers.clone());
+                tokio::spawn(async move {
+                    gossip.exchange(&peers, &host, address, talk).await;
+                    lock(&gossip.asking).remove(&host);
+                });
+            }
+        }
+    }
+
+    /// Exchanges reports with partners in other rows.
+    async fn ask_partners(self: Arc<Self>, peers: Arc<Peers>) {
+        loop {
+            let partners = self.lock().partners_to_ask(Instant::now());
+            self.ask(&peers, partners, Talk::Rows);
+            tokio::time::sleep(FAR_INTERVAL.mul_f64(rand::random_range(0.9..1.0))).await;
+        }
+    }
+
+    /// Tells the row at once when this host uses other engines than before.
     async fn push(self: Arc<Self>, peers: Arc<Peers>) {
         loop {
             self.router.uses_changed().await;
             tokio::time::sleep(PUSH_PAUSE).await;
             let heard = self.lock().heard(Instant::now());
             for (host, address) in heard {
-                tokio::spawn(exchange(self.clone(), peers.clone(), host, address));
+                let (gossip, peers) = (self.clone(), peers.clone());
+                tokio::spawn(async move {
+                    gossip.exchange(&peers, &host, address, Talk::Row).await;
+                });
             }
         }
     }
 
-    /// Keeps this host's entry in the store until the process ends.
-    pub async fn announce(self: Arc<Self>) {
-        let mut lease = None;
-        let mut failed = false;
-        loop {
-            if self.router.is_store_lost() {
-                // The one that follows the store finds out when it is back.
-                tokio::time::sleep(RETRY_PAUSE).await;
-                continue;
+    async fn exchange(&self, peers: &Peers, host: &Arc<str>, address: SocketAddr, talk: Talk) {
+        let now = Instant::now();
+        let ask = match talk {
+            Talk::Row => {
+                let hears = self.lock().hears(now, host);
+                Ask::Report { report: self.report(now), hears }
             }
-            let pause = match self.renew(lease).await {
-                Ok(renewed) => {
-                    if std::mem::take(&mut failed) {
-                        log::info!("peers: entry renewed again lease={renewed}");
-                    }
-                    lease = Some(renewed);
-                    RENEWAL
-                }
-                Err(error) => {
-                    if !std::mem::replace(&mut failed, true) {
-                        log::info!("peers: entry not renewed: {error}");
-                    }
-                    RETRY_PAUSE
-                }
-            };
-            tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.0))).await;
-        }
-    }
-
-    async fn renew(&self, lease: Option<u64>) -> Result<u64, crate::edge::DirectoryError> {
-        let directory = &self.router.directory;
-        if let Some(lease) = lease
-            && directory.keep(lease).await?
-        {
-            return Ok(lease);
+            Talk::Rows => Ask::Row(self.row_report(now)),
+        };
+        match peers.call(address, &ask, EXCHANGE_TIME).await {
+            Ok(Reply::Report(report)) => self.take(host, report, true),
+            Ok(Reply::Row(report)) => self.take_row(host, report),
+            Ok(_) => log::warn!("peers: unexpected reply from host={host}"),
+            Err(error) => log::debug!("peers: {error}"),
         }
-        let lease = directory.lease(ENTRY_TIME).await?;
-        let entry = Bytes::from(self.router.settings.peers.to_string());
-        directory.announce(&self.router.settings.host, entry, lease).await?;
-        log::info!("peers: entry written lease={lease}");
-        Ok(lease)
     }
 
-    fn report(&self) -> HostReport {
-        let incarnation = self.id.incarnation;
-        let mut report = HostReport { incarnation, ..HostReport::default() };
+    fn report(&self, now: Instant) -> HostReport {
+        let (incarnation, view) = (self.id.incarnation, self.lock().view(now));
+        let mut report = HostReport { incarnation, view, ..HostReport::default() };
         self.router.with_quota(|quota| {
-            report.admitted = quota.admitted().map(|(name, n)| (name.clone(), n)).collect();
+            report.spent = quota.spent().map(|(name, spent)| (name.clone(), spent)).collect();
         });
         self.router.each_pool(|pool| {
             let uses = pool.own().map(|(id, streams)| (id.clone(), streams));
@@ -187,6 +179,11 @@
         report
     }
 
+    fn row_report(&self, now: Instant) -> RowReport {
+        let own = self.report(now);
+        self.lock().row_report(now, own)
+    }
+
     fn known(&self, have: Have) -> Option<Vec<u8>> {
         let known = self.router.known(Instant::now(), have)?;
         known.encode().inspect_err(|error| log::error!("peers: not passed on: {error}")).ok()
@@ -199,8 +196,8 @@
             if !self.router.is_store_lost() {
                 continue;
             }
-            let heard = self.lock().heard(Instant::now());
-            for (host, address) in heard {
+            let reachable = self.lock().reachable(Instant::now());
+            for (host, address) in reachable {
                 if self.ask_one(&peers, &host, address).await {
                     break;
                 }
@@ -234,34 +231,61 @@
 
     fn take(&self, from: &Arc<str>, report: HostReport, hears: bool) {
         let now = Instant::now();
-        let (admitted, uses) = {
-            let mut neighbours = self.lock();
-            (neighbours.take(now, from, report, hears), neighbours.uses(now))
-        };
-        self.router.each_pool(|pool| pool.set_foreign(&uses));
+        let news = self.lock().take(now, from, report, hears);
+        self.count(now, news);
+    }
+
+    fn take_row(&self, from: &Arc<str>, report: RowReport) {
+        let now = Instant::now();
+        let news = self.lock().take_row(now, from, report);
+        self.count(now, news);
+    }
+
+    /// Counts what other hosts have admitted against the limits.
+    fn count(&self, now: Instant, news: News) {
+        self.reported.notify_one();
         let Some(site) = self.router.site() else { return };
         let share = self.router.share();
         self.router.with_quota(|quota| {
-            for (customer, tokens) in admitted {
+            for (customer, told) in news {
                 if let Some(customer) = site.customers.get(&customer) {
-                    quota.heard(now, customer, share, tokens);
+                    quota.heard(now, customer, share, told);
                 }
             }
         });
     }
 
-    fn update(&self, now: Instant) {
-        self.update_share(now);
+    /// Tells the pools what others use, soon after each report.
+    async fn apply(self: Arc<Self>) {
+        loop {
+            self.reported.notified().await;
+            tokio::time::sleep(APPLY_PAUSE).await;
+            self.apply_uses(Instant::now());
+        }
+    }
+
+    fn apply_uses(&self, now: Instant) {
         let uses = self.lock().uses(now);
         self.router.each_pool(|pool| pool.set_foreign(&uses));
         self.router.decide(now);
     }
 
+    fn update(&self, now: Instant) {
+        self.update_share(now);
+        let layout = self.lock().layout().clone();
+        if self.router.set_layout(&layout) {
+            let (near, rows) = (layout.near_count(), layout.others().count() + 1);
+            log::info!("peers: hosts divided row_hosts={near} rows={rows}");
+        }
+        self.apply_uses(now);
+    }
+
     fn update_share(&self, now: Instant) {
         let share = self.lock().share(now);
         if self.router.set_share(share) {
-            let Share { heard, hosts } = share;
-            log::info!("peers: share changed heard={heard} hosts={hosts}");
+            let Share { heard, hosts, lag } = share;
+            let lag = lag.as_millis();
+            log::info!("peers: share changed heard={heard} hosts={hosts} lag_ms={lag}");
             self.router.metrics.known("hosts", hosts as u64);
             self.router.metrics.known("hosts_heard", heard as u64);
         }
@@ -272,13 +296,26 @@
     }
 }
 
+/// What an exchange is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Talk {
+    /// This host and another of its row.
+    Row,
+    /// This host's row and another.
+    Rows,
+}
+
 impl Handler for Gossip {
     fn handle<'a>(&'a self, from: &'a HostId, ask: Ask) -> HandlerCall<'a> {
         Box::pin(async move {
             match ask {
                 Ask::Report { report, hears } => {
                     self.take(&from.host, report, hears);
-                    Reply::Report(self.report())
+                    Reply::Report(self.report(Instant::now()))
+                }
+                Ask::Row(report) => {
+                    self.take_row(&from.host, report);
+                    Reply::Row(self.row_report(Instant::now()))
                 }
                 Ask::Known { version, revision } => {
                     Reply::Known(self.known(Have { version, revision }))
@@ -289,31 +326,10 @@
     }
 }
 
-async fn ask(gossip: Arc<Gossip>, peers: Arc<Peers>, host: Arc<str>, address: SocketAddr) {
-    exchange(gossip.clone(), peers, host.clone(), address).await;
-    lock(&gossip.asking).remove(&host);
-}
-
-async fn exchange(gossip: Arc<Gossip>, peers: Arc<Peers>, host: Arc<str>, address: SocketAddr) {
-    let hears = gossip.lock().hears(Instant::now(), &host);
-    let ask = Ask::Report { report: gossip.report(), hears };
-    match peers.call(address, &ask, EXCHANGE_TIME).await {
-        Ok(Reply::Report(report)) => gossip.take(&host, report, true),
-        Ok(_) => log::warn!("peers: unexpected reply from host={host}"),
-        Err(error) => log::debug!("peers: {error}"),
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|error| error.into_inner())
 }
 
-/// A secret for the hosts to share.
-pub fn new_secret() -> String {
-    let words = std::iter::repeat_with(rand::random::<u64>).take(SECRET_WORDS);
-    words.map(|word| format!("{word:016x}")).collect()
-}
-
 /// Tells runs of a host apart; runs need no order.
 fn incarnation() -> u64 {
     rand::random()
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -7,6 +7,7 @@
 //! all hosts, [`roster`] knows the upstreams, [`health`] judges them. The deployment is
 //! met at [`edge`].
 
+pub mod announce;
 pub mod balance;
 pub mod budget;
 pub mod call;
@@ -14,9 +15,11 @@
 pub mod control;
 pub mod edge;
 pub mod events;
+pub mod far;
 pub mod generate;
 pub mod gossip;
 pub mod health;
+pub mod layout;
 pub mod memory;
 pub mod metrics;
 pub mod neighbours;
--- a/crates/rosemarypitch-forward/src/neighbours.rs
+++ b/crates/rosemarypitch-forward/src/neighbours.rs
@@ -1,38 +1,60 @@
 //! What hosts tell each other: tokens admitted, engines used.
 //!
-//! One exchange serves both ends; of two hosts the one with the earlier name begins it. A
-//! host counts as heard only while both ends hear each other, so that of two hosts that
-//! are half cut off neither uses a share that the other counts as its own.
+//! One exchange serves both ends; of two hosts of a row the one with the earlier name begins
+//! it. A host counts as heard only while both ends hear each other.
+//!
+//! Hosts that hear each other use their parts of the limits together. That is safe only if
+//! all of them see what all of them admit: of three hosts of which two are cut from each
+//! other, both would else use the third one's part. So each host tells a digest of the
+//! hosts that it hears, its view, and uses the parts of those whose views are its own.
+//! Views differ for a moment whenever a host comes or goes, which is waited out.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemarypitch_peer::HostReport;
+use rosemarypitch_peer::{HostReport, RowReport, Spent, UseSum};
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::far::{FAR_INTERVAL, Far};
+use crate::layout::{self, Layout};
 use crate::memory::StreamUse;
 use crate::quota::Share;
 
-/// Time between exchanges of two hosts, for each host there is beyond two.
+/// Time between exchanges of two hosts, for each host of a row beyond two.
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(20);
 /// Shortest time between exchanges of two hosts; short against a stream of three seconds.
 pub const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Exchanges that may be missed before a host counts as unheard.
 const MISSES: u32 = 5;
+/// Shortest time for which differing views are waited out: a host that stops answering is
+/// missed by the others within half a second of each other, and tells so in the next.
+const MIN_AGREE_TIME: Duration = Duration::from_millis(1_500);
+/// Exchanges in which views come to agree: one to miss a host and two to tell.
+const AGREE_EXCHANGES: u32 = 3;
 
 /// The other hosts.
 #[derive(Debug)]
 pub struct Neighbours {
     own: Arc<str>,
+    zone: Arc<str>,
     hosts: HashMap<Arc<str>, Neighbour>,
+    layout: Layout,
+    /// Whether hosts have come or gone since they were divided.
+    undivided: bool,
+    far: Far,
+    /// When all hosts that are heard last had the same view.
+    agreed: Option<Instant>,
+    /// What customers asked for and got at the row's other hosts since this host started.
+    row_spent: HashMap<Arc<str>, Spent>,
 }
 
 #[derive(Debug, Default)]
 struct Neighbour {
-    /// Where it takes connections, while its entry is in the store.
-    address: Option<SocketAddr>,
+    /// Where it takes connections and in which data centre, while its entry is in the store.
+    entry: Option<HostEntry>,
     report: HostReport,
     /// When its last report came.
     reported: Option<Instant>,
@@ -40,19 +62,49 @@
     hears: bool,
 }
 
-/// What a host admitted since its last report; negative if more was given back.
-pub type Admitted = (Arc<str>, i64);
+/// What a host's entry says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostEntry {
+    /// Where it takes connections of other hosts.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub zone: Arc<str>,
+}
+
+/// What a customer asked for and got at other hosts since those last told, in tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Asked for.
+    pub asked: u64,
+    /// Admitted; negative if more was given back.
+    pub admitted: i64,
+}
+
+/// What was told of customers.
+pub type News = Vec<(Arc<str>, Told)>;
 
 impl Neighbours {
-    /// A host that knows no other.
-    pub fn new(own: Arc<str>) -> Self {
-        Self { own, hosts: HashMap::new() }
+    /// A host in `zone` that knows no other.
+    pub fn new(own: Arc<str>, zone: Arc<str>) -> Self {
+        let alone = BTreeMap::from([(own.clone(), zone.clone())]);
+        let layout = Layout::new(&own, &alone);
+        Self {
+            own,
+            zone,
+            hosts: HashMap::new(),
+            layout,
+            undivided: false,
+            far: Far::default(),
+            agreed: None,
+            row_spent: HashMap::new(),
+        }
     }
 
     /// Takes a host's entry.
-    pub fn put(&mut self, host: Arc<str>, address: SocketAddr) {
+    pub fn put(&mut self, host: Arc<str>, entry: HostEntry) {
         if host != self.own {
-            self.hosts.entry(host).or_default().address = Some(address);
+            self.hosts.entry(host).or_default().entry = Some(entry);
+            self.undivided = true;
         }
     }
 
@@ -61,36 +113,78 @@
         let interval = self.interval();
         if self.hosts.get(host).is_some_and(|known| !known.is_heard(now, interval)) {
             self.hosts.remove(host);
+            self.undivided = true;
         }
     }
 
+    /// Divides the hosts again if they have changed.
+    fn divide(&mut self) {
+        if !std::mem::take(&mut self.undivided) {
+            return;
+        }
+        let others = self.hosts.iter().map(|(host, known)| {
+            let zone = known.entry.as_ref().map_or(&self.zone, |entry| &entry.zone);
+            (host.clone(), zone.clone())
+        });
+        let own = [(self.own.clone(), self.zone.clone())];
+        let hosts: BTreeMap<Arc<str>, Arc<str>> = others.chain(own).collect();
+        self.layout = Layout::new(&self.own, &hosts);
+    }
+
+    /// How the hosts are divided.
+    pub fn layout(&self) -> &Layout {
+        &self.layout
+    }
+
     /// Names of the hosts that are known.
     pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
         self.hosts.keys()
     }
 
-    /// Time between exchanges: grows with the hosts, so that their sum grows no faster.
+    /// Time between exchanges: grows with the row, so that their sum grows no faster.
     pub fn interval(&self) -> Duration {
-        let others = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
-        (INTERVAL_PER_HOST * others).max(MIN_INTERVAL)
+        let others = self.layout.near_count().saturating_sub(1);
+        (INTERVAL_PER_HOST * u32::try_from(others).unwrap_or(u32::MAX)).max(MIN_INTERVAL)
     }
 
-    /// Hosts with which this one begins exchanges now: all of them if `due`, else those that
-    /// are not heard yet, since a host that hears nobody may use little of any limit.
-    pub fn to_ask(&self, now: Instant, due: bool) -> Vec<(Arc<str>, SocketAddr)> {
+    /// Hosts of the row with which this one begins exchanges now: all of them if `due`, else
+    /// those that are not heard yet, since a host that hears nobody may use little of any
+    /// limit.
+    pub fn to_ask(&mut self, now: Instant, due: bool) -> Vec<(Arc<str>, SocketAddr)> {
+        self.divide();
         let interval = self.interval();
-        let asked = self
-            .hosts
-            .iter()
-            .filter(|(host, known)| **host > self.own && (due || !known.is_heard(now, interval)));
-        asked.filter_map(|(host, known)| Some((host.clone(), known.address?))).collect()
+        let asked = self.hosts.iter().filter(|(host, known)| {
+            **host > self.own
+                && self.layout.is_near(host)
+                && (due || !known.is_heard(now, interval))
+        });
+        asked.filter_map(|(host, known)| Some((host.clone(), known.address()?))).collect()
+    }
+
+    /// Partners in other rows with which this host begins exchanges now.
+    pub fn partners_to_ask(&mut self, now: Instant) -> Vec<(Arc<str>, SocketAddr)> {
+        let partners = self.far.to_ask(now, &self.layout);
+        let known = partners.into_iter().filter_map(|host| {
+            let address = self.hosts.get(&host)?.address()?;
+            Some((host, address))
+        });
+        known.collect()
     }
 
-    /// Hosts that are heard.
+    /// Hosts of the row that are heard.
     pub fn heard(&self, now: Instant) -> Vec<(Arc<str>, SocketAddr)> {
         let interval = self.interval();
         let heard = self.hosts.iter().filter(|(_, known)| known.is_heard(now, interval));
-        heard.filter_map(|(host, known)| Some((host.clone(), known.address?))).collect()
+        heard.filter_map(|(host, known)| Some((host.clone(), known.address()?))).collect()
+    }
+
+    /// All hosts that answer this one, those of its row first.
+    pub fn reachable(&self, now: Instant) -> Vec<(Arc<str>, SocketAddr)> {
+        let partners = self.far.partners(now).filter_map(|host| {
+            let address = self.hosts.get(host)?.address()?;
+            Some((host.clone(), address))
+        });
+        self.heard(now).into_iter().chain(partners).collect()
     }
 
     /// Whether a host is heard; what it is told of itself.
@@ -99,44 +193,118 @@
         self.hosts.get(host).is_some_and(|known| known.is_reporting(now, interval))
     }
 
-    /// Takes a host's report; gives what it admitted since the last one.
-    pub fn take(
-        &mut self,
-        now: Instant,
-        from: &Arc<str>,
-        report: HostReport,
-        hears: bool,
-    ) -> Vec<Admitted> {
+    /// Takes a host's report; gives what happened there since the last one.
+    pub fn take(&mut self, now: Instant, from: &Arc<str>, report: HostReport, hears: bool) -> News {
+        self.undivided |= !self.hosts.contains_key(from);
         let known = self.hosts.entry(from.clone()).or_default();
         let old = std::mem::replace(&mut known.report, report);
         let first = known.reported.replace(now).is_none();
         known.hears = hears;
         // What another run of the host admitted is told by that run.
-        if first || old.incarnation != known.report.incarnation {
-            return Vec::new();
+        let same = !first && old.incarnation == known.report.incarnation;
+        let before = if same { &old.spent } else { &known.report.spent };
+        let changes = changes(before, &known.report.spent);
+        self.divide();
+        if self.layout.is_near(from) {
+            for (customer, told) in &changes {
+                let sum = self.row_spent.entry(customer.clone()).or_default();
+                sum.asked = sum.asked.wrapping_add(told.asked);
+                sum.admitted = sum.admitted.wrapping_add_signed(told.admitted);
+            }
         }
-        let before: HashMap<&Arc<str>, u64> =
-            old.admitted.iter().map(|(name, tokens)| (name, *tokens)).collect();
-        let changes = known.report.admitted.iter().map(|(name, tokens)| {
-            let earlier = before.get(name).copied().unwrap_or(0);
-            (name.clone(), tokens.wrapping_sub(earlier) as i64)
-        });
-        changes.filter(|(_, change)| *change != 0).collect()
+        changes
+    }
+
+    /// Takes what a partner tells of its row; gives what happened there since then.
+    pub fn take_row(&mut self, now: Instant, from: &Arc<str>, report: RowReport) -> News {
+        self.far.take(now, &self.layout, from, report)
+    }
+
+    /// What this host tells partners of its row; `own` is its own report.
+    pub fn row_report(&self, now: Instant, own: HostReport) -> RowReport {
+        let interval = self.interval();
+        let near: Vec<(&Arc<str>, &Neighbour)> = self.near(now, interval).collect();
+        let members = near
+            .iter()
+            .fold(layout::digest(&self.own), |sum, (host, _)| sum ^ layout::digest(host));
+        let mut views: HashMap<u64, u32> = HashMap::from([(self.view(now), 1)]);
+        for (_, known) in &near {
+            *views.entry(known.report.view).or_default() += 1;
+        }
+        let mut spent = self.row_spent.clone();
+        for (customer, own) in &own.spent {
+            let sum = spent.entry(customer.clone()).or_default();
+            sum.asked = sum.asked.wrapping_add(own.asked);
+            sum.admitted = sum.admitted.wrapping_add(own.admitted);
+        }
+        let mut uses: HashMap<Arc<str>, UseSum> = HashMap::new();
+        let reports = near.iter().map(|(_, known)| &known.report).chain([&own]);
+        for (engine, streams) in reports.flat_map(|report| &report.uses) {
+            let sum = uses.entry(engine.clone()).or_default();
+            streams.iter().for_each(|stream| sum.add(stream));
+        }
+        RowReport {
+            incarnation: own.incarnation,
+            members,
+            hosts: near.len() as u32 + 1,
+            views: views.into_iter().collect(),
+            spent: spent.into_iter().collect(),
+            uses: uses.into_iter().collect(),
+        }
+    }
+
+    /// Hosts of the row that are heard.
+    fn near(
+        &self,
+        now: Instant,
+        interval: Duration,
+    ) -> impl Iterator<Item = (&Arc<str>, &Neighbour)> {
+        let heard = move |known: &Neighbour| known.is_heard(now, interval);
+        self.hosts.iter().filter(move |(host, known)| self.layout.is_near(host) && heard(known))
+    }
+
+    /// Digest of the hosts that this one hears, itself included.
+    pub fn view(&self, now: Instant) -> u64 {
+        let near = self.near(now, self.interval()).map(|(host, _)| layout::digest(host));
+        let far = self.far.heard(now).map(|report| report.members);
+        near.chain(far).fold(layout::digest(&self.own), |sum, part| sum ^ part)
     }
 
     /// The part of all limits that this host may use.
-    pub fn share(&self, now: Instant) -> Share {
+    pub fn share(&mut self, now: Instant) -> Share {
+        self.divide();
+        let view = self.view(now);
         let interval = self.interval();
-        let heard = self.hosts.values().filter(|known| known.is_heard(now, interval)).count();
-        Share { heard: heard + 1, hosts: self.hosts.len() + 1 }
+        let near: Vec<u64> = self.near(now, interval).map(|(_, known)| known.report.view).collect();
+        let mut heard = near.len() + 1;
+        let mut agreeing = near.iter().filter(|other| **other == view).count() + 1;
+        for report in self.far.heard(now) {
+            heard += report.hosts as usize;
+            let same = report.views.iter().filter(|(other, _)| *other == view);
+            agreeing += same.map(|(_, count)| *count as usize).sum::<usize>();
+        }
+        if agreeing >= heard {
+            self.agreed = Some(now);
+        }
+        let patience = (interval * AGREE_EXCHANGES).max(MIN_AGREE_TIME);
+        let agreed = self.agreed.is_some_and(|at| now.saturating_duration_since(at) <= patience);
+        let far = self.layout.others().next().is_some();
+        let lag = if far { interval + FAR_INTERVAL } else { interval };
+        Share { heard: if agreed { heard } else { agreeing }, hosts: self.hosts.len() + 1, lag }
     }
 
     /// What the hosts that report use of each engine.
     pub fn uses(&self, now: Instant) -> HashMap<Arc<str>, Vec<StreamUse>> {
         let interval = self.interval();
         let mut uses: HashMap<Arc<str>, Vec<StreamUse>> = HashMap::new();
-        let reporting = self.hosts.values().filter(|known| known.is_reporting(now, interval));
-        for (engine, streams) in reporting.flat_map(|known| &known.report.uses) {
+        let near = self
+            .hosts
+            .iter()
+            .filter(|(host, known)| self.layout.is_near(host) && known.is_reporting(now, interval));
+        for (engine, streams) in near.flat_map(|(_, known)| &known.report.uses) {
+            uses.entry(engine.clone()).or_default().extend(streams);
+        }
+        for (engine, streams) in self.far.uses(now) {
             uses.entry(engine.clone()).or_default().extend(streams);
         }
         uses
@@ -144,6 +312,10 @@
 }
 
 impl Neighbour {
+    fn address(&self) -> Option<SocketAddr> {
+        self.entry.as_ref().map(|entry| entry.address)
+    }
+
     fn is_reporting(&self, now: Instant, interval: Duration) -> bool {
         self.reported.is_some_and(|at| now.duration_since(at) <= interval * MISSES)
     }
@@ -152,3 +324,15 @@
         self.hears && self.is_reporting(now, interval)
     }
 }
+
+/// What happened between two reports of one run of a host.
+pub(crate) fn changes(old: &[(Arc<str>, Spent)], new: &[(Arc<str>, Spent)]) -> News {
+    let before: HashMap<&Arc<str>, Spent> = old.iter().map(|(name, s)| (name, *s)).collect();
+    let changes = new.iter().map(|(name, spent)| {
+        let earlier = before.get(name).copied().unwrap_or_default();
+        let asked = spent.asked.wrapping_sub(earlier.asked);
+        let admitted = spent.admitted.wrapping_sub(earlier.admitted) as i64;
+        (name.clone(), Told { asked, admitted })
+    });
+    changes.filter(|(_, told)| told.asked != 0 || told.admitted != 0).collect()
+}
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -12,7 +12,7 @@
 //! other hosts tell of. The engine itself has the last word: a slot that it does not
 //! reserve blocks it here for a moment.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -108,6 +108,10 @@
     guess: Option<f64>,
     demand: Demand,
     hosts: usize,
+    /// Engines that this host's row tries first; none if they are not divided.
+    homes: Option<HashSet<Arc<str>>>,
+    /// Engines that other hosts use.
+    shared: Vec<Arc<str>>,
 }
 
 /// Memory that callers ask for, averaged over a short time.
@@ -174,6 +178,8 @@
             guess: None,
             demand: Demand::default(),
             hosts: 1,
+            homes: None,
+            shared: Vec::new(),
         }
     }
 
@@ -200,10 +206,24 @@
         }
     }
 
+    /// Takes the engines that this host's row tries first.
+    pub fn set_homes(&mut self, homes: Option<HashSet<Arc<str>>>) {
+        self.homes = homes;
+    }
+
     /// Takes what the other hosts together use.
     pub fn set_foreign(&mut self, uses: &HashMap<Arc<str>, Vec<StreamUse>>) {
-        for (id, engine) in &mut self.engines {
-            engine.foreign = uses.get(id).cloned().unwrap_or_default();
+        // Most engines of a large fleet are used by few hosts.
+        for id in std::mem::take(&mut self.shared) {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.foreign.clear();
+            }
+        }
+        for (id, streams) in uses {
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.foreign.extend_from_slice(streams);
+                self.shared.push(id.clone());
+            }
         }
     }
 
@@ -348,8 +368,28 @@
     }
 
     fn best_decode(&self, now: Instant, ask: &Ask) -> Option<Arc<str>> {
+        // Among thousands of engines most requests find room at home.
+        if let Some(homes) = &self.homes {
+            let home = homes.iter().filter_map(|id| Some((id, self.engines.get(id)?)));
+            let best = self.cheapest(now, ask, home);
+            if let Some((cost, id)) = best
+                && cost <= self.tuning.home_cost
+            {
+                return Some(id.clone());
+            }
+        }
+        self.cheapest(now, ask, self.engines.iter()).map(|(_, id)| id.clone())
+    }
+
+    /// The engine of some that has room at the least cost.
+    fn cheapest<'a>(
+        &self,
+        now: Instant,
+        ask: &Ask,
+        engines: impl Iterator<Item = (&'a Arc<str>, &'a Engine)>,
+    ) -> Option<(f64, &'a Arc<str>)> {
         let memory = self.memory() as u64;
-        let costs = self.engines.iter().filter_map(|(id, engine)| {
+        let costs = engines.filter_map(|(id, engine)| {
             if !engine.is_open(now) || engine.slots() >= self.size.slots as usize {
                 return None;
             }
@@ -358,7 +398,7 @@
             let fits = peak <= memory || engine.slots() == 0;
             fits.then(|| (self.decode_cost(now, engine, peak), id))
         });
-        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id.clone())
+        costs.min_by(|a, b| a.0.total_cmp(&b.0))
     }
 
     fn decode_cost(&self, now: Instant, engine: &Engine, peak: u64) -> f64 {
@@ -368,8 +408,12 @@
         memory.max(slots) + self.crossing(engine) + failing
     }
 
+    /// Busy part that is accepted to stay in the data centre and among the row's engines.
     fn crossing(&self, engine: &Engine) -> f64 {
-        if engine.upstream.zone == self.zone { 0.0 } else { self.tuning.crossing_cost }
+        let near = engine.upstream.zone == self.zone;
+        let crossing = if near { 0.0 } else { self.tuning.crossing_cost };
+        let home = self.homes.as_ref().is_none_or(|homes| homes.contains(&engine.upstream.id));
+        crossing + if home { 0.0 } else { self.tuning.foreign_cost }
     }
 
     /// The engine that should have read a prompt first; counts the prompt to it.
--- a/crates/rosemarypitch-forward/src/quota.rs
+++ b/crates/rosemarypitch-forward/src/quota.rs
@@ -6,14 +6,18 @@
 //! and no request waits for a word from another host.
 //!
 //! What others admit is heard late. A bucket may therefore fall below zero; what was
-//! admitted too much is made up for before anything else is admitted.
+//! admitted too much is made up for before anything else is admitted. While callers ask for
+//! more than is left in the time of that lag, each request has an equal chance, so that
+//! hundreds of hosts do not all take the same last tokens.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemarypitch_peer::Spent;
 use tokio::time::Instant;
 
+use crate::neighbours::Told;
 use crate::site::{Customer, RateLimit};
 
 /// Longest time after which a caller beyond its limit is told to come back.
@@ -26,6 +30,8 @@
     pub heard: usize,
     /// All hosts that may admit anything.
     pub hosts: usize,
+    /// Time after which a host hears what others admit.
+    pub lag: Duration,
 }
 
 impl Share {
@@ -73,13 +79,23 @@
     buckets: HashMap<Arc<str>, Bucket>,
 }
 
+/// Least time over which the demand is averaged; a burst is seen within it.
+const MIN_DEMAND_TIME: Duration = Duration::from_millis(500);
+/// Multiple of the lag for which the demand is looked ahead: hosts that answer to what they
+/// hear late would else all admit together and all refuse together.
+const LAGS_AHEAD: u32 = 2;
+/// Part of a full bucket above which nobody is refused for what may be admitted unheard.
+const PLENTY_PART: f64 = 0.5;
+
 #[derive(Debug)]
 struct Bucket {
     limit: RateLimit,
     level: f64,
+    /// Tokens a second that callers ask for at all hosts.
+    demand: f64,
     filled: Instant,
-    /// Tokens admitted here since the process started, less those given back.
-    admitted: u64,
+    /// What happened here since the process started.
+    spent: Spent,
 }
 
 impl Quota {
@@ -94,37 +110,46 @@
     }
 
     /// Takes tokens, or tells when there may be as many.
+    ///
+    /// `draw` is a random number from 0 to 1. While more is asked for than is left, each
+    /// large request has the same chance at all hosts.
     pub fn take(
         &mut self,
         now: Instant,
         customer: &Customer,
         share: Share,
         tokens: u64,
+        draw: f64,
     ) -> Result<(), Duration> {
         let Some(limit) = customer.limit else { return Ok(()) };
         let early = self.rules.allowance * EARLY_PART / share.hosts.max(1) as f64;
         let capacity = self.rules.capacity(limit, share);
         let bucket = self.bucket(now, &customer.name, limit, share);
+        bucket.ask(share, tokens);
         let reserve = capacity * SMALL_RESERVE;
-        let kept = if tokens as f64 > reserve { reserve } else { 0.0 };
+        let small = tokens as f64 <= reserve;
+        let kept = if small { 0.0 } else { reserve };
         // A request larger than the bucket passes a full one.
         let need = (tokens as f64 + kept - early).min(capacity);
-        if bucket.level < need {
+        let chance = bucket.chance(share, capacity);
+        if bucket.level < need || !small && draw > chance {
             let rate = (limit.rate * share.part()).max(1.0);
             log::info!(
                 "limits: over customer={} tokens={tokens} level={:.0} capacity={capacity:.0} \
-                 rate={:.0} heard={} hosts={}",
+                 chance={chance:.2} demand={:.0} rate={:.0} heard={} hosts={}",
                 customer.name,
                 bucket.level,
+                bucket.demand,
                 limit.rate,
                 share.heard,
                 share.hosts,
             );
-            let wait = Duration::from_secs_f64((need - bucket.level) / rate);
-            return Err(wait.min(MAX_RETRY));
+            // Who was unlucky may find as much left after what a request takes is there anew.
+            let lacking = (need - bucket.level).max(tokens as f64);
+            return Err(Duration::from_secs_f64(lacking / rate).min(MAX_RETRY));
         }
         bucket.level -= tokens as f64;
-        bucket.admitted += tokens;
+        bucket.spent.admitted += tokens;
         Ok(())
     }
 
@@ -132,20 +157,21 @@
     pub fn give_back(&mut self, customer: &str, tokens: u64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
             bucket.level += tokens as f64;
-            bucket.admitted = bucket.admitted.saturating_sub(tokens);
+            bucket.spent.admitted = bucket.spent.admitted.saturating_sub(tokens);
         }
     }
 
-    /// Takes note of what another host has admitted (negative: given back) since it last told.
-    pub fn heard(&mut self, now: Instant, customer: &Customer, share: Share, tokens: i64) {
+    /// Takes note of what callers asked for and got at other hosts since those last told.
+    pub fn heard(&mut self, now: Instant, customer: &Customer, share: Share, told: Told) {
         let Some(limit) = customer.limit else { return };
         let bucket = self.bucket(now, &customer.name, limit, share);
-        bucket.level -= tokens as f64;
+        bucket.level -= told.admitted as f64;
+        bucket.demand += told.asked as f64 / demand_time(share).as_secs_f64();
     }
 
-    /// Tokens admitted here by customer.
-    pub fn admitted(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
-        self.buckets.iter().map(|(name, bucket)| (name, bucket.admitted))
+    /// What happened here, by customer.
+    pub fn spent(&self) -> impl Iterator<Item = (&Arc<str>, Spent)> {
+        self.buckets.iter().map(|(name, bucket)| (name, bucket.spent))
     }
 
     fn bucket(
@@ -160,14 +186,37 @@
         let bucket = self.buckets.entry(name.clone()).or_insert_with(|| Bucket {
             limit,
             level: start,
+            demand: 0.0,
             filled: now,
-            admitted: 0,
+            spent: Spent::default(),
         });
         let time = now.saturating_duration_since(bucket.filled).as_secs_f64();
         let gained = bucket.level + bucket.limit.rate * share.part() * time;
         bucket.level = gained.min(capacity);
+        bucket.demand *= (-time / demand_time(share).as_secs_f64()).exp();
         bucket.filled = now;
         bucket.limit = limit;
         bucket
     }
 }
+
+impl Bucket {
+    fn ask(&mut self, share: Share, tokens: u64) {
+        self.spent.asked += tokens;
+        self.demand += tokens as f64 / demand_time(share).as_secs_f64();
+    }
+
+    /// Chance of a request, so that all hosts together admit what is left in the time in
+    /// which they do not hear of it.
+    fn chance(&self, share: Share, capacity: f64) -> f64 {
+        let ahead = (share.lag * LAGS_AHEAD).as_secs_f64() * self.demand;
+        if self.level >= ahead.min(PLENTY_PART * capacity) {
+            return 1.0;
+        }
+        (self.level / ahead).max(0.0)
+    }
+}
+
+fn demand_time(share: Share) -> Duration {
+    (share.lag * LAGS_AHEAD).max(MIN_DEMAND_TIME)
+}
--- a/crates/rosemarypitch-forward/src/roster.rs
+++ b/crates/rosemarypitch-forward/src/roster.rs
@@ -47,7 +47,7 @@
 }
 
 /// What an engine does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Stage {
     /// Reads prompts.
     Prefill,
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -4,7 +4,7 @@
 //! read them and keep the pools, balances, buckets and budgets. Locks are held for single
 //! steps of the pure state machines, never across a wait.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
@@ -16,6 +16,7 @@
 use crate::balance::Balance;
 use crate::budget::{RepeatBudget, RepeatRules};
 use crate::edge::{Dialect, Directory};
+use crate::layout::Layout;
 use crate::metrics::Metrics;
 use crate::pool::{Ask, Decision, DecodeEnd, Likely, Pool, Ticket};
 use crate::quota::{Quota, QuotaRules, Share};
@@ -82,6 +83,7 @@
     revision: AtomicU64,
     store_lost: AtomicBool,
     share: Mutex<Share>,
+    layout: Mutex<Option<Layout>>,
     roster: Mutex<Roster>,
     balances: Mutex<HashMap<Arc<str>, Balance>>,
     pools: Mutex<Pools>,
@@ -133,7 +135,8 @@
             heard: Mutex::new(None),
             revision: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
-            share: Mutex::new(Share { heard: 1, hosts: 1 }),
+            share: Mutex::new(Share { heard: 1, hosts: 1, lag: Duration::ZERO }),
+            layout: Mutex::new(None),
             roster: Mutex::new(Roster::default()),
             balances: Mutex::default(),
             pools: Mutex::default(),
@@ -266,6 +269,18 @@
         old != share
     }
 
+    /// Takes how the hosts are divided; true if they were divided in another way.
+    pub fn set_layout(&self, layout: &Layout) -> bool {
+        let mut present = lock(&self.layout);
+        if present.as_ref() == Some(layout) {
+            return false;
+        }
+        *present = Some(layout.clone());
+        drop(present);
+        self.apply_upstreams(Instant::now());
+        true
+    }
+
     /// Changes the list of upstreams and tells pools and balances.
     pub fn update_roster<T>(&self, now: Instant, change: impl FnOnce(&mut Roster) -> T) -> T {
         let result = change(&mut lock(&self.roster));
@@ -293,6 +308,7 @@
                     let fresh = || Pool::new(size, self.settings.zone.clone(), self.settings.pool);
                     let pool = pools.pools.entry(name.clone()).or_insert_with(fresh);
                     pool.replace(&list, size, hosts);
+                    pool.set_homes(homes(&lock(&self.layout), &list));
                 }
                 None => lock(&self.balances).entry(name.clone()).or_default().replace(&list),
             }
@@ -493,6 +509,10 @@
     }
 }
 
+fn homes(layout: &Option<Layout>, engines: &[Arc<Upstream>]) -> Option<HashSet<Arc<str>>> {
+    layout.as_ref().and_then(|layout| layout.homes(engines))
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|error| error.into_inner())
 }
--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -21,6 +21,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::announce;
 use crate::call;
 use crate::control;
 use crate::gossip::Gossip;
@@ -84,7 +85,7 @@
         let gossip = Gossip::new(router.clone());
         let (secret, known) = oneshot::channel();
         tokio::spawn(control::follow(router.clone(), gossip.clone(), secret));
-        tokio::spawn(gossip.clone().announce());
+        tokio::spawn(announce::announce(router.clone()));
         tokio::spawn(async move {
             if let Ok(secret) = known.await {
                 gossip.run(peers, secret).await;
--- a/crates/rosemarypitch-forward/src/tuning.rs
+++ b/crates/rosemarypitch-forward/src/tuning.rs
@@ -16,6 +16,10 @@
     pub memory_part: f64,
     /// Busy part that is accepted to stay in the data centre, from 0 to 1.
     pub crossing_cost: f64,
+    /// Busy part up to which other engines than those of a host's row are not looked at.
+    pub home_cost: f64,
+    /// Busy part that is accepted to stay among the engines of a host's row.
+    pub foreign_cost: f64,
     /// Weight of an engine's failure rate against its busy part.
     pub failure_cost: f64,
     /// Multiple of a request's time in which those ahead of it must be placed; more lets
@@ -31,6 +35,8 @@
             wait_part: 0.85,
             memory_part: 0.85,
             crossing_cost: 0.08,
+            home_cost: 0.7,
+            foreign_cost: 0.3,
             failure_cost: 2.0,
             forecast_slack: 1.5,
         }
@@ -56,6 +62,8 @@
             ("wait_part", self.wait_part, 0.0, 1.0),
             ("memory_part", self.memory_part, 0.1, 1.0),
             ("crossing_cost", self.crossing_cost, 0.0, 1.0),
+            ("home_cost", self.home_cost, 0.0, 10.0),
+            ("foreign_cost", self.foreign_cost, 0.0, 10.0),
             ("failure_cost", self.failure_cost, 0.0, 100.0),
             ("forecast_slack", self.forecast_slack, 0.1, 100.0),
         ];
--- a/crates/rosemarypitch-gateway/src/handler.rs
+++ b/crates/rosemarypitch-gateway/src/handler.rs
@@ -42,7 +42,7 @@
         }
         Ask::Claim(ask) => Reply::Claim(host.claims.ask_here(ask).await),
         // Forwarding hosts only; a host of this kind has nothing of the sort.
-        Ask::Report { .. } | Ask::Known { .. } => Reply::NotOwner,
+        Ask::Report { .. } | Ask::Row(_) | Ask::Known { .. } => Reply::NotOwner,
         Ask::Verify(attempts) => {
             let mut denied = attempts;
             denied.retain(|attempt| !host.running.holds(attempt));
--- a/crates/rosemarypitch-peer/src/frame.rs
+++ b/crates/rosemarypitch-peer/src/frame.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 
 /// Version of the protocol; the first byte of each message.
-pub const PROTOCOL: u8 = 1;
+pub const PROTOCOL: u8 = 2;
 /// Longest message, in bytes; a configuration document fits.
 pub const MAX_FRAME_BYTES: usize = 2 << 20;
 
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -40,6 +40,9 @@
         /// Whether the sender has had a report of the receiver lately.
         hears: bool,
     },
+    /// Tells what the sender's row admitted and uses; the reply tells the same of the
+    /// receiver's.
+    Row(RowReport),
     /// Asks for what the receiver knows from the store, by a host that the store refuses.
     Known {
         /// Version of the sender's configuration.
@@ -68,6 +71,8 @@
     Denied(Vec<AttemptId>),
     /// What the peer admitted and uses.
     Report(HostReport),
+    /// What the peer's row admitted and uses.
+    Row(RowReport),
     /// What the peer knows from the store, encoded; none if that is nothing new.
     Known(Option<Vec<u8>>),
     /// Taken note.
@@ -81,12 +86,23 @@
 pub struct HostReport {
     /// Which run of the host.
     pub incarnation: u64,
-    /// Tokens admitted since it started, by customer.
-    pub admitted: Vec<(Arc<str>, u64)>,
+    /// Digest of the hosts that it hears, itself included.
+    pub view: u64,
+    /// What customers asked for and got since it started.
+    pub spent: Vec<(Arc<str>, Spent)>,
     /// Streams at each engine.
     pub uses: Vec<(Arc<str>, Vec<StreamUse>)>,
 }
 
+/// Tokens of one customer; the sums wrap around.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spent {
+    /// Asked for.
+    pub asked: u64,
+    /// Admitted, less those given back.
+    pub admitted: u64,
+}
+
 /// Memory of one stream, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamUse {
@@ -96,6 +112,43 @@
     pub growth: u64,
 }
 
+/// What the hosts of a row that one of them hears admitted and use, itself included.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowReport {
+    /// Which run of the host that tells.
+    pub incarnation: u64,
+    /// Digest of the hosts.
+    pub members: u64,
+    /// How many they are.
+    pub hosts: u32,
+    /// Their views, and how many have each.
+    pub views: Vec<(u64, u32)>,
+    /// What customers asked for and got since the host that tells started.
+    pub spent: Vec<(Arc<str>, Spent)>,
+    /// Use of each engine.
+    pub uses: Vec<(Arc<str>, UseSum)>,
+}
+
+/// Memory of several streams, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UseSum {
+    /// How many.
+    pub streams: u32,
+    /// What they hold.
+    pub held: u64,
+    /// What they are likely to add before they end.
+    pub growth: u64,
+}
+
+impl UseSum {
+    /// Adds a stream.
+    pub fn add(&mut self, stream: &StreamUse) {
+        self.streams += 1;
+        self.held += stream.held;
+        self.growth += stream.growth;
+    }
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
