Take over the fullness of others' buckets after a start or a standstill

Change: reports tell how full each bucket is. A host that has just started takes the median of what its row tells, and so does one whose bucket stays apart for a second. A bucket keeps its fullness when the host's part changes. What a host admitted while it was not heard is not counted, since it had a part of its own. Exchanges with partners begin at one end, each 500 ms, and tell uses of engines each second; pools touch only engines in use.

Ruled out: taking the mean (one host that stood still would empty the others' buckets); starting full (a window could see twice the limit); a floor kept in the store.

--- a/crates/rosemarypitch-forward/src/far.rs
+++ b/crates/rosemarypitch-forward/src/far.rs
@@ -4,14 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemarypitch_peer::{RowReport, StreamUse};
+use rosemarypitch_peer::{RowReport, StreamUse, UseSum};
 use tokio::time::Instant;
 
 use crate::layout::{Layout, RowId};
 use crate::neighbours::{self, News};
 
 /// Time between exchanges with partners; a part of the second in which a burst shows.
-pub const FAR_INTERVAL: Duration = Duration::from_millis(250);
+pub const FAR_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a partner is told again which engines the row uses. Other rows use
+/// these engines only when their own are full.
+const USES_INTERVAL: Duration = Duration::from_millis(900);
 /// Exchanges that may be missed before a row counts as unheard.
 const MISSES: u32 = 5;
 /// Exchanges that may be missed before another partner of the row is asked.
@@ -21,6 +24,8 @@
 #[derive(Debug, Default)]
 pub struct Far {
     rows: HashMap<RowId, Row>,
+    /// When each partner was told which engines the row uses.
+    told: HashMap<Arc<str>, Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -37,6 +42,8 @@
 struct Heard {
     from: Arc<str>,
     report: RowReport,
+    /// Use of each engine, as told last.
+    uses: Vec<(Arc<str>, UseSum)>,
     at: Instant,
 }
 
@@ -47,9 +54,10 @@
 }
 
 impl Far {
-    /// Partners to ask, one in each other row.
+    /// Partners to ask: one in each other row that does not ask this host.
     pub fn to_ask(&mut self, now: Instant, layout: &Layout) -> Vec<Arc<str>> {
         self.rows.retain(|id, _| layout.others().any(|other| other == id));
+        self.told.retain(|_, at| now.saturating_duration_since(*at) < FAR_INTERVAL * MISSES);
         let mut partners = Vec::new();
         for id in layout.others() {
             let row = self.rows.entry(id.clone()).or_default();
@@ -60,7 +68,9 @@
                 row.asked = Some(now);
             }
             row.asked = row.asked.or(Some(now));
-            partners.extend(layout.partner(id, row.turn).cloned());
+            if row.turn > 0 || layout.begins(id) {
+                partners.extend(layout.partner(id, row.turn).cloned());
+            }
         }
         partners
     }
@@ -88,26 +98,42 @@
             _ => (Vec::new(), true),
         };
         if counted {
-            row.heard = Some(Heard { from: from.clone(), report, at: now });
+            let old = row.heard.take().filter(|heard| heard.from == *from);
+            let old = old.map(|heard| heard.uses).unwrap_or_default();
+            let uses = report.uses.clone().unwrap_or(old);
+            row.heard = Some(Heard { from: from.clone(), report, uses, at: now });
         }
         changes
     }
 
+    /// Whether a partner is to be told now which engines the row uses.
+    pub fn tells_uses(&mut self, now: Instant, to: &Arc<str>) -> bool {
+        let told = self.told.get(to);
+        let due = told.is_none_or(|at| now.saturating_duration_since(*at) >= USES_INTERVAL);
+        if due {
+            self.told.insert(to.clone(), now);
+        }
+        due
+    }
+
     /// Reports of the rows that are heard.
     pub fn heard(&self, now: Instant) -> impl Iterator<Item = &RowReport> {
+        self.fresh(now).map(|heard| &heard.report)
+    }
+
+    fn fresh(&self, now: Instant) -> impl Iterator<Item = &Heard> {
         let heard = self.rows.values().filter_map(|row| row.heard.as_ref());
-        heard.filter(move |heard| heard.is_fresh(now)).map(|heard| &heard.report)
+        heard.filter(move |heard| heard.is_fresh(now))
     }
 
     /// Partners that are heard.
     pub fn partners(&self, now: Instant) -> impl Iterator<Item = &Arc<str>> {
-        let heard = self.rows.values().filter_map(|row| row.heard.as_ref());
-        heard.filter(move |heard| heard.is_fresh(now)).map(|heard| &heard.from)
+        self.fresh(now).map(|heard| &heard.from)
     }
 
     /// What the rows that are heard use of each engine, as that many even streams.
     pub fn uses(&self, now: Instant) -> impl Iterator<Item = (&Arc<str>, Vec<StreamUse>)> {
-        self.heard(now).flat_map(|report| &report.uses).map(|(engine, sum)| {
+        self.fresh(now).flat_map(|heard| &heard.uses).map(|(engine, sum)| {
             let count = u64::from(sum.streams.max(1));
             let even = StreamUse { held: sum.held / count, growth: sum.growth / count };
             (engine, vec![even; sum.streams as usize])
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -130,6 +130,8 @@
         loop {
             let partners = self.lock().partners_to_ask(Instant::now());
             self.ask(&peers, partners, Talk::Rows);
+            let uses = self.lock().far_uses(Instant::now());
+            self.router.each_pool(|pool| pool.set_far(&uses));
             tokio::time::sleep(FAR_INTERVAL.mul_f64(rand::random_range(0.9..1.0))).await;
         }
     }
@@ -156,7 +158,7 @@
                 let hears = self.lock().hears(now, host);
                 Ask::Report { report: self.report(now), hears }
             }
-            Talk::Rows => Ask::Row(self.row_report(now)),
+            Talk::Rows => Ask::Row(self.row_report(now, host)),
         };
         match peers.call(address, &ask, EXCHANGE_TIME).await {
             Ok(Reply::Report(report)) => self.take(host, report, true),
@@ -179,9 +181,9 @@
         report
     }
 
-    fn row_report(&self, now: Instant) -> RowReport {
+    fn row_report(&self, now: Instant, to: &Arc<str>) -> RowReport {
         let own = self.report(now);
-        self.lock().row_report(now, own)
+        self.lock().row_report(now, own, to)
     }
 
     fn known(&self, have: Have) -> Option<Vec<u8>> {
@@ -255,7 +257,7 @@
         });
     }
 
-    /// Tells the pools what others use, soon after each report.
+    /// Tells the pools what the row uses, soon after each report.
     async fn apply(self: Arc<Self>) {
         loop {
             self.reported.notified().await;
@@ -265,8 +267,8 @@
     }
 
     fn apply_uses(&self, now: Instant) {
-        let uses = self.lock().uses(now);
-        self.router.each_pool(|pool| pool.set_foreign(&uses));
+        let uses = self.lock().near_uses(now);
+        self.router.each_pool(|pool| pool.set_near(&uses));
         self.router.decide(now);
     }
 
@@ -278,6 +280,22 @@
             log::info!("peers: hosts divided row_hosts={near} rows={rows}");
         }
         self.apply_uses(now);
+        self.compare_limits(now);
+    }
+
+    /// Compares this host's buckets with those of its row.
+    fn compare_limits(&self, now: Instant) {
+        let Some(site) = self.router.site() else { return };
+        let told = self.lock().fullness(now);
+        let (share, heard) = (self.router.share(), !told.is_empty());
+        self.router.with_quota(|quota| {
+            for (customer, mut told) in told {
+                if let Some(customer) = site.customers.get(&customer) {
+                    quota.compare(now, customer, share, &mut told);
+                }
+            }
+            quota.note_compared(now, heard);
+        });
     }
 
     fn update_share(&self, now: Instant) {
@@ -315,7 +333,7 @@
                 }
                 Ask::Row(report) => {
                     self.take_row(&from.host, report);
-                    Reply::Row(self.row_report(Instant::now()))
+                    Reply::Row(self.row_report(Instant::now(), &from.host))
                 }
                 Ask::Known { version, revision } => {
                     Reply::Known(self.known(Have { version, revision }))
--- a/crates/rosemarypitch-forward/src/layout.rs
+++ b/crates/rosemarypitch-forward/src/layout.rs
@@ -87,6 +87,17 @@
         self.rows.keys().filter(|row| **row != self.own)
     }
 
+    /// Whether this host begins the exchanges with its partner in another row: it is the
+    /// partner's own partner unless the other row is shorter.
+    pub fn begins(&self, row: &RowId) -> bool {
+        *row > self.own || self.rows.get(row).is_some_and(|hosts| self.place >= hosts.len())
+    }
+
+    /// Hosts of this host's row, itself included.
+    pub fn near(&self) -> &[Arc<str>] {
+        self.rows.get(&self.own).map_or(&[], Vec::as_slice)
+    }
+
     /// The host of another row with which this one exchanges; the next one for each `turn`.
     pub fn partner(&self, row: &RowId, turn: usize) -> Option<&Arc<str>> {
         let hosts = self.rows.get(row)?;
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod announce;
 pub mod balance;
+pub mod bucket;
 pub mod budget;
 pub mod call;
 pub mod client;
--- a/crates/rosemarypitch-forward/src/neighbours.rs
+++ b/crates/rosemarypitch-forward/src/neighbours.rs
@@ -20,7 +20,7 @@
 
 use crate::far::{FAR_INTERVAL, Far};
 use crate::layout::{self, Layout};
-use crate::memory::StreamUse;
+use crate::pool::Uses;
 use crate::quota::Share;
 
 /// Time between exchanges of two hosts, for each host of a row beyond two.
@@ -41,7 +41,7 @@
     own: Arc<str>,
     zone: Arc<str>,
     hosts: HashMap<Arc<str>, Neighbour>,
-    layout: Layout,
+    layout: Arc<Layout>,
     /// Whether hosts have come or gone since they were divided.
     undivided: bool,
     far: Far,
@@ -87,7 +87,7 @@
     /// A host in `zone` that knows no other.
     pub fn new(own: Arc<str>, zone: Arc<str>) -> Self {
         let alone = BTreeMap::from([(own.clone(), zone.clone())]);
-        let layout = Layout::new(&own, &alone);
+        let layout = Arc::new(Layout::new(&own, &alone));
         Self {
             own,
             zone,
@@ -128,11 +128,11 @@
         });
         let own = [(self.own.clone(), self.zone.clone())];
         let hosts: BTreeMap<Arc<str>, Arc<str>> = others.chain(own).collect();
-        self.layout = Layout::new(&self.own, &hosts);
+        self.layout = Arc::new(Layout::new(&self.own, &hosts));
     }
 
     /// How the hosts are divided.
-    pub fn layout(&self) -> &Layout {
+    pub fn layout(&self) -> &Arc<Layout> {
         &self.layout
     }
 
@@ -196,12 +196,15 @@
     /// Takes a host's report; gives what happened there since the last one.
     pub fn take(&mut self, now: Instant, from: &Arc<str>, report: HostReport, hears: bool) -> News {
         self.undivided |= !self.hosts.contains_key(from);
+        let interval = self.interval();
         let known = self.hosts.entry(from.clone()).or_default();
+        // A host that was not heard used a part of its own in the meantime.
+        let heard = known.is_reporting(now, interval);
         let old = std::mem::replace(&mut known.report, report);
-        let first = known.reported.replace(now).is_none();
+        known.reported = Some(now);
         known.hears = hears;
         // What another run of the host admitted is told by that run.
-        let same = !first && old.incarnation == known.report.incarnation;
+        let same = heard && old.incarnation == known.report.incarnation;
         let before = if same { &old.spent } else { &known.report.spent };
         let changes = changes(before, &known.report.spent);
         self.divide();
@@ -220,8 +223,9 @@
         self.far.take(now, &self.layout, from, report)
     }
 
-    /// What this host tells partners of its row; `own` is its own report.
-    pub fn row_report(&self, now: Instant, own: HostReport) -> RowReport {
+    /// What this host tells a partner of its row; `own` is its own report.
+    pub fn row_report(&mut self, now: Instant, own: HostReport, to: &Arc<str>) -> RowReport {
+        let tells_uses = self.far.tells_uses(now, to);
         let interval = self.interval();
         let near: Vec<(&Arc<str>, &Neighbour)> = self.near(now, interval).collect();
         let members = near
@@ -249,7 +253,7 @@
             hosts: near.len() as u32 + 1,
             views: views.into_iter().collect(),
             spent: spent.into_iter().collect(),
-            uses: uses.into_iter().collect(),
+            uses: tells_uses.then(|| uses.into_iter().collect()),
         }
     }
 
@@ -259,8 +263,8 @@
         now: Instant,
         interval: Duration,
     ) -> impl Iterator<Item = (&Arc<str>, &Neighbour)> {
-        let heard = move |known: &Neighbour| known.is_heard(now, interval);
-        self.hosts.iter().filter(move |(host, known)| self.layout.is_near(host) && heard(known))
+        let near = self.layout.near().iter().filter_map(|host| self.hosts.get_key_value(host));
+        near.filter(move |(_, known)| known.is_heard(now, interval))
     }
 
     /// Digest of the hosts that this one hears, itself included.
@@ -293,17 +297,34 @@
         Share { heard: if agreed { heard } else { agreeing }, hosts: self.hosts.len() + 1, lag }
     }
 
-    /// What the hosts that report use of each engine.
-    pub fn uses(&self, now: Instant) -> HashMap<Arc<str>, Vec<StreamUse>> {
+    /// How full the buckets of hosts of the row are, by customer.
+    pub fn fullness(&self, now: Instant) -> HashMap<Arc<str>, Vec<f32>> {
+        let mut told: HashMap<Arc<str>, Vec<f32>> = HashMap::new();
+        for (customer, spent) in
+            self.near(now, self.interval()).flat_map(|(_, known)| &known.report.spent)
+        {
+            if let Some(fullness) = spent.fullness {
+                told.entry(customer.clone()).or_default().push(fullness);
+            }
+        }
+        told
+    }
+
+    /// What the hosts of the row that report use of each engine.
+    pub fn near_uses(&self, now: Instant) -> Uses {
         let interval = self.interval();
-        let mut uses: HashMap<Arc<str>, Vec<StreamUse>> = HashMap::new();
-        let near = self
-            .hosts
-            .iter()
-            .filter(|(host, known)| self.layout.is_near(host) && known.is_reporting(now, interval));
-        for (engine, streams) in near.flat_map(|(_, known)| &known.report.uses) {
+        let mut uses = Uses::new();
+        let near = self.layout.near().iter().filter_map(|host| self.hosts.get(host));
+        let near = near.filter(|known| known.is_reporting(now, interval));
+        for (engine, streams) in near.flat_map(|known| &known.report.uses) {
             uses.entry(engine.clone()).or_default().extend(streams);
         }
+        uses
+    }
+
+    /// What the other rows use of each engine.
+    pub fn far_uses(&self, now: Instant) -> Uses {
+        let mut uses = Uses::new();
         for (engine, streams) in self.far.uses(now) {
             uses.entry(engine.clone()).or_default().extend(streams);
         }
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -110,10 +110,17 @@
     hosts: usize,
     /// Engines that this host's row tries first; none if they are not divided.
     homes: Option<HashSet<Arc<str>>>,
-    /// Engines that other hosts use.
-    shared: Vec<Arc<str>>,
+    /// Engines that this host may use now.
+    used: HashSet<Arc<str>>,
+    /// Engines that other hosts of the row use.
+    near: Vec<Arc<str>>,
+    /// Engines that hosts of other rows use.
+    far: Vec<Arc<str>>,
 }
 
+/// Streams at each engine.
+pub type Uses = HashMap<Arc<str>, Vec<StreamUse>>;
+
 /// Memory that callers ask for, averaged over a short time.
 #[derive(Debug, Default)]
 struct Demand {
@@ -142,7 +149,10 @@
 struct Engine {
     upstream: Arc<Upstream>,
     own: HashMap<Ticket, Running>,
-    foreign: Vec<StreamUse>,
+    /// Streams of other hosts of the row.
+    near: Vec<StreamUse>,
+    /// Streams of hosts of other rows.
+    far: Vec<StreamUse>,
     /// Prompt tokens that this host waits for.
     reading: u64,
     full: Option<Instant>,
@@ -179,7 +189,9 @@
             demand: Demand::default(),
             hosts: 1,
             homes: None,
-            shared: Vec::new(),
+            used: HashSet::new(),
+            near: Vec::new(),
+            far: Vec::new(),
         }
     }
 
@@ -196,7 +208,8 @@
                 _ => Engine {
                     upstream: upstream.clone(),
                     own: HashMap::new(),
-                    foreign: Vec::new(),
+                    near: Vec::new(),
+                    far: Vec::new(),
                     reading: 0,
                     full: None,
                     health: Health::default(),
@@ -211,25 +224,37 @@
         self.homes = homes;
     }
 
-    /// Takes what the other hosts together use.
-    pub fn set_foreign(&mut self, uses: &HashMap<Arc<str>, Vec<StreamUse>>) {
-        // Most engines of a large fleet are used by few hosts.
-        for id in std::mem::take(&mut self.shared) {
-            if let Some(engine) = self.engines.get_mut(&id) {
-                engine.foreign.clear();
+    /// Takes what the other hosts of the row together use.
+    pub fn set_near(&mut self, uses: &Uses) {
+        // Of thousands of engines few are in use, so only these are touched.
+        for id in std::mem::take(&mut self.near) {
+            self.engines.get_mut(&id).into_iter().for_each(|engine| engine.near.clear());
+        }
+        for (id, streams) in uses {
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.near.extend_from_slice(streams);
+                self.near.push(id.clone());
             }
         }
+    }
+
+    /// Takes what the hosts of other rows together use.
+    pub fn set_far(&mut self, uses: &Uses) {
+        for id in std::mem::take(&mut self.far) {
+            self.engines.get_mut(&id).into_iter().for_each(|engine| engine.far.clear());
+        }
         for (id, streams) in uses {
             if let Some(engine) = self.engines.get_mut(id) {
-                engine.foreign.extend_from_slice(streams);
-                self.shared.push(id.clone());
+                engine.far.extend_from_slice(streams);
+                self.far.push(id.clone());
             }
         }
     }
 
     /// What this host uses.
     pub fn own(&self) -> impl Iterator<Item = (&Arc<str>, Vec<StreamUse>)> {
-        let used = self.engines.iter().filter(|(_, engine)| !engine.own.is_empty());
+        let used = self.used.iter().filter_map(|id| Some((id, self.engines.get(id)?)));
+        let used = used.filter(|(_, engine)| !engine.own.is_empty());
         used.map(|(id, engine)| (id, engine.own.values().map(Running::memory).collect()))
     }
 
@@ -289,6 +314,9 @@
     /// Places and refuses what can be decided now.
     pub fn decide(&mut self, now: Instant) -> Vec<Decision> {
         let mut decisions = Vec::new();
+        if !self.is_waiting() {
+            return decisions;
+        }
         self.demote(now);
         self.place(now, &mut decisions);
         self.refuse(now, &mut decisions);
@@ -313,6 +341,7 @@
             let running = Running { prompt: ask.prompt, made: 0, expected: ask.output };
             engine.own.insert(ask.ticket, running);
             decisions.push(Decision::Place(ask.ticket, engine.upstream.clone()));
+            self.used.insert(id);
             let queue = if self.timely.is_empty() { &mut self.late } else { &mut self.timely };
             queue.remove(0);
         }
@@ -483,6 +512,9 @@
         }
         let Some(engine) = self.engines.get_mut(id) else { return };
         engine.own.remove(&ticket);
+        if engine.own.is_empty() {
+            self.used.remove(id);
+        }
         match end {
             DecodeEnd::Finished(_) => engine.health.note(now, Outcome::Good),
             DecodeEnd::Failed(outcome) => engine.health.note(now, outcome),
@@ -503,14 +535,15 @@
     }
 
     fn slots(&self) -> usize {
-        self.own.len() + self.foreign.len()
+        self.own.len() + self.near.len() + self.far.len()
     }
 
     /// The most memory that the engine's streams will hold together with one more.
     fn peak(&self, ask: &Ask) -> u64 {
         let own = self.own.values().map(Running::memory);
+        let foreign = self.near.iter().chain(&self.far).copied();
         let new = memory::stream(ask.prompt, 0, ask.output);
-        memory::peak(own.chain(self.foreign.iter().copied()).chain([new]).collect())
+        memory::peak(own.chain(foreign).chain([new]).collect())
     }
 }
 
--- a/crates/rosemarypitch-forward/src/quota.rs
+++ b/crates/rosemarypitch-forward/src/quota.rs
@@ -9,6 +9,10 @@
 //! admitted too much is made up for before anything else is admitted. While callers ask for
 //! more than is left in the time of that lag, each request has an equal chance, so that
 //! hundreds of hosts do not all take the same last tokens.
+//!
+//! Hosts tell each other how full their buckets are. A host that has started while others
+//! run takes the fullness that they tell, and so does one whose bucket stays apart from
+//! theirs, such as after it stood still while they admitted and refilled.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -17,11 +21,15 @@
 use rosemarypitch_peer::Spent;
 use tokio::time::Instant;
 
+use crate::bucket::Bucket;
 use crate::neighbours::Told;
 use crate::site::{Customer, RateLimit};
 
 /// Longest time after which a caller beyond its limit is told to come back.
 const MAX_RETRY: Duration = Duration::from_secs(8);
+/// Time after which a host that hears of no fullness goes on with its own: several
+/// exchanges, and the time in which hosts come to hear each other.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// The part of all limits that a host may use together with those that it hears.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,7 +43,8 @@
 }
 
 impl Share {
-    fn part(self) -> f64 {
+    /// The part of each limit.
+    pub fn part(self) -> f64 {
         self.heard.min(self.hosts) as f64 / self.hosts.max(1) as f64
     }
 }
@@ -53,7 +62,7 @@
 
 impl QuotaRules {
     /// Most tokens that a bucket holds.
-    fn capacity(self, limit: RateLimit, share: Share) -> f64 {
+    pub fn capacity(self, limit: RateLimit, share: Share) -> f64 {
         let tolerated = self.overrun * (limit.burst + limit.rate * self.window.as_secs_f64());
         (limit.burst + tolerated + HELD_PART * self.allowance) * share.part()
     }
@@ -76,32 +85,18 @@
     rules: QuotaRules,
     /// Whether buckets start full: no host has admitted anything before.
     full: bool,
+    /// Whether the buckets may be told to others; a host that has just started does not
+    /// know what was admitted before.
+    settled: bool,
+    /// When it first compared its buckets with those of others.
+    compared: Option<Instant>,
     buckets: HashMap<Arc<str>, Bucket>,
 }
 
-/// Least time over which the demand is averaged; a burst is seen within it.
-const MIN_DEMAND_TIME: Duration = Duration::from_millis(500);
-/// Multiple of the lag for which the demand is looked ahead: hosts that answer to what they
-/// hear late would else all admit together and all refuse together.
-const LAGS_AHEAD: u32 = 2;
-/// Part of a full bucket above which nobody is refused for what may be admitted unheard.
-const PLENTY_PART: f64 = 0.5;
-
-#[derive(Debug)]
-struct Bucket {
-    limit: RateLimit,
-    level: f64,
-    /// Tokens a second that callers ask for at all hosts.
-    demand: f64,
-    filled: Instant,
-    /// What happened here since the process started.
-    spent: Spent,
-}
-
 impl Quota {
-    /// Buckets that are all full, or all empty.
+    /// Buckets that are all full, or all empty until others tell.
     pub fn new(rules: QuotaRules, full: bool) -> Self {
-        Self { rules, full, buckets: HashMap::new() }
+        Self { rules, full, settled: full, compared: None, buckets: HashMap::new() }
     }
 
     /// Changes what is tolerated.
@@ -132,46 +127,71 @@
         // A request larger than the bucket passes a full one.
         let need = (tokens as f64 + kept - early).min(capacity);
         let chance = bucket.chance(share, capacity);
-        if bucket.level < need || !small && draw > chance {
-            let rate = (limit.rate * share.part()).max(1.0);
-            log::info!(
-                "limits: over customer={} tokens={tokens} level={:.0} capacity={capacity:.0} \
-                 chance={chance:.2} demand={:.0} rate={:.0} heard={} hosts={}",
-                customer.name,
-                bucket.level,
-                bucket.demand,
-                limit.rate,
-                share.heard,
-                share.hosts,
-            );
-            // Who was unlucky may find as much left after what a request takes is there anew.
-            let lacking = (need - bucket.level).max(tokens as f64);
-            return Err(Duration::from_secs_f64(lacking / rate).min(MAX_RETRY));
+        if bucket.level() >= need && (small || draw <= chance) {
+            bucket.admit(tokens);
+            return Ok(());
         }
-        bucket.level -= tokens as f64;
-        bucket.spent.admitted += tokens;
-        Ok(())
+        let rate = (limit.rate * share.part()).max(1.0);
+        log::info!(
+            "limits: over customer={} tokens={tokens} level={:.0} capacity={capacity:.0} \
+             chance={chance:.2} demand={:.0} rate={:.0} heard={} hosts={}",
+            customer.name,
+            bucket.level(),
+            bucket.demand(),
+            limit.rate,
+            share.heard,
+            share.hosts,
+        );
+        // Who was unlucky may find as much left after what a request takes is there anew.
+        let lacking = (need - bucket.level()).max(tokens as f64);
+        Err(Duration::from_secs_f64(lacking / rate).min(MAX_RETRY))
     }
 
     /// Gives back the tokens of a request that has not run.
     pub fn give_back(&mut self, customer: &str, tokens: u64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
-            bucket.level += tokens as f64;
-            bucket.spent.admitted = bucket.spent.admitted.saturating_sub(tokens);
+            bucket.give_back(tokens);
         }
     }
 
     /// Takes note of what callers asked for and got at other hosts since those last told.
     pub fn heard(&mut self, now: Instant, customer: &Customer, share: Share, told: Told) {
+        if let Some(limit) = customer.limit {
+            self.bucket(now, &customer.name, limit, share).heard(share, told);
+        }
+    }
+
+    /// Compares a bucket with what other hosts tell of theirs, as parts of full ones.
+    pub fn compare(&mut self, now: Instant, customer: &Customer, share: Share, told: &mut [f32]) {
         let Some(limit) = customer.limit else { return };
+        let Some(median) = median(told) else { return };
+        let (settled, capacity) = (self.settled, self.rules.capacity(limit, share));
         let bucket = self.bucket(now, &customer.name, limit, share);
-        bucket.level -= told.admitted as f64;
-        bucket.demand += told.asked as f64 / demand_time(share).as_secs_f64();
+        if settled && !bucket.is_apart(now, share, median, capacity) {
+            return;
+        }
+        log::info!(
+            "limits: fullness taken customer={} from={:.2} to={median:.2} hosts={} settled={settled}",
+            customer.name,
+            bucket.fullness(capacity),
+            told.len(),
+        );
+        bucket.set_fullness(median, capacity);
+    }
+
+    /// Takes note that all buckets have been compared; `told` if others told of theirs.
+    pub fn note_compared(&mut self, now: Instant, told: bool) {
+        let first = *self.compared.get_or_insert(now);
+        let waited = now.saturating_duration_since(first) >= SETTLE_TIME;
+        if !self.settled && (told || waited) {
+            log::info!("limits: settled told={told}");
+            self.settled = true;
+        }
     }
 
     /// What happened here, by customer.
     pub fn spent(&self) -> impl Iterator<Item = (&Arc<str>, Spent)> {
-        self.buckets.iter().map(|(name, bucket)| (name, bucket.spent))
+        self.buckets.iter().map(|(name, bucket)| (name, bucket.spent(self.settled)))
     }
 
     fn bucket(
@@ -182,41 +202,20 @@
         share: Share,
     ) -> &mut Bucket {
         let capacity = self.rules.capacity(limit, share);
-        let start = if self.full { capacity } else { 0.0 };
-        let bucket = self.buckets.entry(name.clone()).or_insert_with(|| Bucket {
-            limit,
-            level: start,
-            demand: 0.0,
-            filled: now,
-            spent: Spent::default(),
-        });
-        let time = now.saturating_duration_since(bucket.filled).as_secs_f64();
-        let gained = bucket.level + bucket.limit.rate * share.part() * time;
-        bucket.level = gained.min(capacity);
-        bucket.demand *= (-time / demand_time(share).as_secs_f64()).exp();
-        bucket.filled = now;
-        bucket.limit = limit;
+        let level = if self.full { capacity } else { 0.0 };
+        let fresh = || Bucket::new(now, limit, share, level);
+        let bucket = self.buckets.entry(name.clone()).or_insert_with(fresh);
+        bucket.fill(now, limit, share, capacity);
         bucket
     }
 }
 
-impl Bucket {
-    fn ask(&mut self, share: Share, tokens: u64) {
-        self.spent.asked += tokens;
-        self.demand += tokens as f64 / demand_time(share).as_secs_f64();
-    }
-
-    /// Chance of a request, so that all hosts together admit what is left in the time in
-    /// which they do not hear of it.
-    fn chance(&self, share: Share, capacity: f64) -> f64 {
-        let ahead = (share.lag * LAGS_AHEAD).as_secs_f64() * self.demand;
-        if self.level >= ahead.min(PLENTY_PART * capacity) {
-            return 1.0;
-        }
-        (self.level / ahead).max(0.0)
+fn median(values: &mut [f32]) -> Option<f64> {
+    values.sort_by(f32::total_cmp);
+    let middle = values.len() / 2;
+    let upper = f64::from(*values.get(middle)?);
+    if values.len() % 2 == 1 {
+        return Some(upper);
     }
-}
-
-fn demand_time(share: Share) -> Duration {
-    (share.lag * LAGS_AHEAD).max(MIN_DEMAND_TIME)
+    Some((upper + f64::from(values[middle - 1])) / 2.0)
 }
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -83,7 +83,7 @@
     revision: AtomicU64,
     store_lost: AtomicBool,
     share: Mutex<Share>,
-    layout: Mutex<Option<Layout>>,
+    layout: Mutex<Option<Arc<Layout>>>,
     roster: Mutex<Roster>,
     balances: Mutex<HashMap<Arc<str>, Balance>>,
     pools: Mutex<Pools>,
@@ -270,7 +270,7 @@
     }
 
     /// Takes how the hosts are divided; true if they were divided in another way.
-    pub fn set_layout(&self, layout: &Layout) -> bool {
+    pub fn set_layout(&self, layout: &Arc<Layout>) -> bool {
         let mut present = lock(&self.layout);
         if present.as_ref() == Some(layout) {
             return false;
@@ -509,7 +509,7 @@
     }
 }
 
-fn homes(layout: &Option<Layout>, engines: &[Arc<Upstream>]) -> Option<HashSet<Arc<str>>> {
+fn homes(layout: &Option<Arc<Layout>>, engines: &[Arc<Upstream>]) -> Option<HashSet<Arc<str>>> {
     layout.as_ref().and_then(|layout| layout.homes(engines))
 }
 
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -82,7 +82,7 @@
 }
 
 /// What one run of a host admitted and uses.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct HostReport {
     /// Which run of the host.
     pub incarnation: u64,
@@ -95,12 +95,14 @@
 }
 
 /// Tokens of one customer; the sums wrap around.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Spent {
     /// Asked for.
     pub asked: u64,
     /// Admitted, less those given back.
     pub admitted: u64,
+    /// Part of a full bucket that is left; none if the sender cannot know.
+    pub fullness: Option<f32>,
 }
 
 /// Memory of one stream, in tokens.
@@ -113,7 +115,7 @@
 }
 
 /// What the hosts of a row that one of them hears admitted and use, itself included.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RowReport {
     /// Which run of the host that tells.
     pub incarnation: u64,
@@ -125,8 +127,8 @@
     pub views: Vec<(u64, u32)>,
     /// What customers asked for and got since the host that tells started.
     pub spent: Vec<(Arc<str>, Spent)>,
-    /// Use of each engine.
-    pub uses: Vec<(Arc<str>, UseSum)>,
+    /// Use of each engine; none if it was told a moment ago.
+    pub uses: Option<Vec<(Arc<str>, UseSum)>>,
 }
 
 /// Memory of several streams, in tokens.
