Tell other hosts only what has changed since their last answer

An overtaken report is passed over.

Tests: neighbours only_what_has_changed_is_told_again, a_report_that_was_overtaken.

--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -23,6 +23,8 @@
 /// Time after news in which more news gather: changes come in series, and every host asks
 /// again after each.
 const GATHER_TIME: Duration = Duration::from_millis(100);
+/// Time after which a host asks the others while the store is still telling all it knows.
+const READ_TIME: Duration = Duration::from_millis(700);
 /// First pause after a failed call to the store.
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
 /// Longest pause after failed calls to the store.
@@ -67,7 +69,7 @@
 impl Follower {
     /// Reads all that there is; false if the store does not answer.
     async fn read(&mut self) -> bool {
-        let facts = match self.router.directory.read().await {
+        let facts = match self.read_all().await {
             Ok(facts) => facts,
             Err(error) => {
                 self.lost(&error);
@@ -95,9 +97,12 @@
             self.reread = None;
             self.gossip.keep_hosts(&hosts);
         }
-        self.router.update_roster(now, |roster| roster.replace(now, upstreams, outage));
+        // Another host may have told of more while the store was slow to tell.
+        self.revision = facts.revision.max(self.router.have().revision);
+        if self.revision == facts.revision {
+            self.router.update_roster(now, |roster| roster.replace(now, upstreams, outage));
+        }
         self.router.mark_current(now);
-        self.revision = facts.revision;
         self.router.set_revision(self.revision);
         self.whole = false;
         self.note_ready();
@@ -105,6 +110,19 @@
         true
     }
 
+    async fn read_all(&mut self) -> Result<Facts, DirectoryError> {
+        let router = self.router.clone();
+        let mut reading = router.directory.read();
+        if let Ok(result) = tokio::time::timeout(READ_TIME, &mut reading).await {
+            return result;
+        }
+        // The other hosts may know more before the store answers.
+        if router.set_store_lost(true) {
+            log::warn!("control: store slow to tell revision={}", self.revision);
+        }
+        reading.await
+    }
+
     /// Proposes a secret if there is none; the watch tells whose was first.
     async fn propose_secret(&self) {
         if self.secret.is_none() {
--- a/crates/rosemarypitch-forward/src/far.rs
+++ b/crates/rosemarypitch-forward/src/far.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemarypitch_peer::{RowReport, StreamUse, UseSum};
+use rosemarypitch_peer::{RowReport, Seen, StreamUse, UseSum};
 use tokio::time::Instant;
 
 use crate::layout::{Layout, RowId};
+use crate::ledger::Copy;
 use crate::neighbours::{self, News};
 
 /// Time between exchanges with partners; a part of the second in which a burst shows.
@@ -44,6 +45,7 @@
     report: RowReport,
     /// Use of each engine, as told last.
     uses: Vec<(Arc<str>, UseSum)>,
+    copy: Copy,
     at: Instant,
 }
 
@@ -82,30 +84,51 @@
         layout: &Layout,
         from: &Arc<str>,
         report: RowReport,
+        incarnation: u64,
     ) -> News {
         let Some(id) = layout.row_of(from).filter(|_| !layout.is_near(from)) else {
             return Vec::new();
         };
         let row = self.rows.entry(id.clone()).or_default();
-        let (changes, counted) = match &row.heard {
-            Some(heard) if heard.from == *from => {
-                let same = heard.report.incarnation == report.incarnation;
-                let old = if same { heard.report.spent.as_slice() } else { &report.spent };
-                (neighbours::changes(old, &report.spent), true)
-            }
+        let present = row.heard.take().filter(|heard| heard.from == *from || heard.is_fresh(now));
+        let mut heard = match present {
             // One partner at a time: two would be counted twice.
-            Some(heard) if heard.is_fresh(now) => (Vec::new(), false),
-            _ => (Vec::new(), true),
+            Some(heard) if heard.from != *from => {
+                row.heard = Some(heard);
+                return News::new();
+            }
+            Some(heard) => heard,
+            None => Heard {
+                from: from.clone(),
+                report: RowReport::default(),
+                uses: Vec::new(),
+                copy: Copy::default(),
+                at: now,
+            },
         };
-        if counted {
-            let old = row.heard.take().filter(|heard| heard.from == *from);
-            let old = old.map(|heard| heard.uses).unwrap_or_default();
-            let uses = report.uses.clone().unwrap_or(old);
-            row.heard = Some(Heard { from: from.clone(), report, uses, at: now });
+        heard.at = now;
+        if report.seen.incarnation == incarnation {
+            heard.copy.acked = report.seen.sequence;
+        }
+        let before = heard.copy.take(report.own, &report.spent);
+        let changes =
+            before.map_or(News::new(), |before| neighbours::changes(&before, &report.spent));
+        if let Some(uses) = &report.uses {
+            heard.uses.clone_from(uses);
         }
+        heard.report = report;
+        row.heard = Some(heard);
         changes
     }
 
+    /// The last of this host's reports that has come to a partner, and the partner's last one
+    /// that has come here.
+    pub fn seen(&self, layout: &Layout, partner: &str) -> (u64, Seen) {
+        let row = layout.row_of(partner).and_then(|id| self.rows.get(id));
+        let heard = row.and_then(|row| row.heard.as_ref()).filter(|heard| *heard.from == *partner);
+        heard.map_or((0, Seen::default()), |heard| (heard.copy.acked, heard.copy.seen))
+    }
+
     /// Whether a partner is to be told now which engines the row uses.
     pub fn tells_uses(&mut self, now: Instant, to: &Arc<str>) -> bool {
         let told = self.told.get(to);
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::far::FAR_INTERVAL;
-use crate::neighbours::{self, HostEntry, Neighbours, News};
+use crate::neighbours::{self, HostEntry, Neighbours, News, Own};
 use crate::quota::Share;
 use crate::relayed::{Have, Known};
 use crate::router::Router;
@@ -47,7 +47,8 @@
     pub fn new(router: Arc<Router>) -> Arc<Self> {
         let host = router.settings.host.clone();
         let id = HostId { host: host.clone(), incarnation: incarnation() };
-        let neighbours = Mutex::new(Neighbours::new(host, router.settings.zone.clone()));
+        let neighbours =
+            Mutex::new(Neighbours::new(host, router.settings.zone.clone(), id.incarnation));
         let (asking, reported) = (Mutex::default(), Notify::new());
         Arc::new(Self { router, id, neighbours, asking, reported })
     }
@@ -156,7 +157,7 @@
         let ask = match talk {
             Talk::Row => {
                 let hears = self.lock().hears(now, host);
-                Ask::Report { report: self.report(now), hears }
+                Ask::Report { report: self.report(now, host), hears }
             }
             Talk::Rows => Ask::Row(self.row_report(now, host)),
         };
@@ -168,22 +169,26 @@
         }
     }
 
-    fn report(&self, now: Instant) -> HostReport {
-        let (incarnation, view) = (self.id.incarnation, self.lock().view(now));
-        let mut report = HostReport { incarnation, view, ..HostReport::default() };
+    /// What this host tells of itself.
+    fn own(&self) -> Own {
+        let mut own = Own::default();
         self.router.with_quota(|quota| {
-            report.spent = quota.spent().map(|(name, spent)| (name.clone(), spent)).collect();
+            own.spent = quota.spent().map(|(name, spent)| (name.clone(), spent)).collect();
         });
         self.router.each_pool(|pool| {
-            let uses = pool.own().map(|(id, streams)| (id.clone(), streams));
-            report.uses.extend(uses);
+            own.uses.extend(pool.own().map(|(id, streams)| (id.clone(), streams)));
         });
-        report
+        own
+    }
+
+    fn report(&self, now: Instant, to: &str) -> HostReport {
+        let own = self.own();
+        self.lock().report(now, to, own)
     }
 
     fn row_report(&self, now: Instant, to: &Arc<str>) -> RowReport {
-        let own = self.report(now);
-        self.lock().row_report(now, own, to)
+        let own = self.own();
+        self.lock().row_report(now, to, own)
     }
 
     fn known(&self, have: Have) -> Option<Vec<u8>> {
@@ -329,7 +334,7 @@
             match ask {
                 Ask::Report { report, hears } => {
                     self.take(&from.host, report, hears);
-                    Reply::Report(self.report(Instant::now()))
+                    Reply::Report(self.report(Instant::now(), &from.host))
                 }
                 Ask::Row(report) => {
                     self.take_row(&from.host, report);
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod gossip;
 pub mod health;
 pub mod layout;
+pub mod ledger;
 pub mod memory;
 pub mod metrics;
 pub mod neighbours;
--- a/crates/rosemarypitch-forward/src/neighbours.rs
+++ b/crates/rosemarypitch-forward/src/neighbours.rs
@@ -14,12 +14,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemarypitch_peer::{HostReport, RowReport, Spent, UseSum};
+use rosemarypitch_peer::{HostReport, RowReport, Seen, Spent, StreamUse, UseSum};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::far::{FAR_INTERVAL, Far};
 use crate::layout::{self, Layout};
+use crate::ledger::{Copy, Ledger};
 use crate::pool::Uses;
 use crate::quota::Share;
 
@@ -49,13 +50,20 @@
     agreed: Option<Instant>,
     /// What customers asked for and got at the row's other hosts since this host started.
     row_spent: HashMap<Arc<str>, Spent>,
+    incarnation: u64,
+    /// What this host tells of itself.
+    ledger: Ledger,
+    /// What it tells of its row.
+    row_ledger: Ledger,
 }
 
 #[derive(Debug, Default)]
 struct Neighbour {
     /// Where it takes connections and in which data centre, while its entry is in the store.
     entry: Option<HostEntry>,
-    report: HostReport,
+    view: u64,
+    uses: Vec<(Arc<str>, Vec<StreamUse>)>,
+    copy: Copy,
     /// When its last report came.
     reported: Option<Instant>,
     /// Whether it had heard this host when it last reported.
@@ -83,9 +91,18 @@
 /// What was told of customers.
 pub type News = Vec<(Arc<str>, Told)>;
 
+/// What a host tells of itself.
+#[derive(Clone, Debug, Default)]
+pub struct Own {
+    /// What customers asked for and got.
+    pub spent: Vec<(Arc<str>, Spent)>,
+    /// Streams at each engine.
+    pub uses: Vec<(Arc<str>, Vec<StreamUse>)>,
+}
+
 impl Neighbours {
-    /// A host in `zone` that knows no other.
-    pub fn new(own: Arc<str>, zone: Arc<str>) -> Self {
+    /// A run of a host in `zone` that knows no other.
+    pub fn new(own: Arc<str>, zone: Arc<str>, incarnation: u64) -> Self {
         let alone = BTreeMap::from([(own.clone(), zone.clone())]);
         let layout = Arc::new(Layout::new(&own, &alone));
         Self {
@@ -97,6 +114,9 @@
             far: Far::default(),
             agreed: None,
             row_spent: HashMap::new(),
+            incarnation,
+            ledger: Ledger::default(),
+            row_ledger: Ledger::default(),
         }
     }
 
@@ -200,13 +220,16 @@
         let known = self.hosts.entry(from.clone()).or_default();
         // A host that was not heard used a part of its own in the meantime.
         let heard = known.is_reporting(now, interval);
-        let old = std::mem::replace(&mut known.report, report);
         known.reported = Some(now);
         known.hears = hears;
+        known.view = report.view;
+        known.uses = report.uses;
+        if report.seen.incarnation == self.incarnation {
+            known.copy.acked = report.seen.sequence;
+        }
         // What another run of the host admitted is told by that run.
-        let same = heard && old.incarnation == known.report.incarnation;
-        let before = if same { &old.spent } else { &known.report.spent };
-        let changes = changes(before, &known.report.spent);
+        let before = known.copy.take(report.own, &report.spent).filter(|_| heard);
+        let changes = before.map_or(News::new(), |before| changes(&before, &report.spent));
         self.divide();
         if self.layout.is_near(from) {
             for (customer, told) in &changes {
@@ -220,39 +243,57 @@
 
     /// Takes what a partner tells of its row; gives what happened there since then.
     pub fn take_row(&mut self, now: Instant, from: &Arc<str>, report: RowReport) -> News {
-        self.far.take(now, &self.layout, from, report)
+        self.far.take(now, &self.layout, from, report, self.incarnation)
+    }
+
+    /// What this host tells another of its row.
+    pub fn report(&mut self, now: Instant, to: &str, own: Own) -> HostReport {
+        let sequence = self.ledger.update(own.spent);
+        let (acked, seen) = self
+            .hosts
+            .get(to)
+            .map_or((0, Seen::default()), |known| (known.copy.acked, known.copy.seen));
+        HostReport {
+            own: Seen { incarnation: self.incarnation, sequence },
+            seen,
+            view: self.view(now),
+            spent: self.ledger.since(acked),
+            uses: own.uses,
+        }
     }
 
-    /// What this host tells a partner of its row; `own` is its own report.
-    pub fn row_report(&mut self, now: Instant, own: HostReport, to: &Arc<str>) -> RowReport {
+    /// What this host tells a partner of its row.
+    pub fn row_report(&mut self, now: Instant, to: &Arc<str>, own: Own) -> RowReport {
         let tells_uses = self.far.tells_uses(now, to);
-        let interval = self.interval();
-        let near: Vec<(&Arc<str>, &Neighbour)> = self.near(now, interval).collect();
+        let near: Vec<(&Arc<str>, &Neighbour)> = self.near(now, self.interval()).collect();
         let members = near
             .iter()
             .fold(layout::digest(&self.own), |sum, (host, _)| sum ^ layout::digest(host));
         let mut views: HashMap<u64, u32> = HashMap::from([(self.view(now), 1)]);
         for (_, known) in &near {
-            *views.entry(known.report.view).or_default() += 1;
-        }
-        let mut spent = self.row_spent.clone();
-        for (customer, own) in &own.spent {
-            let sum = spent.entry(customer.clone()).or_default();
-            sum.asked = sum.asked.wrapping_add(own.asked);
-            sum.admitted = sum.admitted.wrapping_add(own.admitted);
+            *views.entry(known.view).or_default() += 1;
         }
         let mut uses: HashMap<Arc<str>, UseSum> = HashMap::new();
-        let reports = near.iter().map(|(_, known)| &known.report).chain([&own]);
-        for (engine, streams) in reports.flat_map(|report| &report.uses) {
+        for (engine, streams) in near.iter().flat_map(|(_, known)| &known.uses).chain(&own.uses) {
             let sum = uses.entry(engine.clone()).or_default();
             streams.iter().for_each(|stream| sum.add(stream));
         }
+        let hosts = near.len() as u32 + 1;
+        let mut spent = self.row_spent.clone();
+        for (customer, own) in own.spent {
+            let sum = spent.entry(customer).or_default();
+            sum.asked = sum.asked.wrapping_add(own.asked);
+            sum.admitted = sum.admitted.wrapping_add(own.admitted);
+        }
+        let sequence = self.row_ledger.update(spent);
+        let (acked, seen) = self.far.seen(&self.layout, to);
         RowReport {
-            incarnation: own.incarnation,
+            own: Seen { incarnation: self.incarnation, sequence },
+            seen,
             members,
-            hosts: near.len() as u32 + 1,
+            hosts,
             views: views.into_iter().collect(),
-            spent: spent.into_iter().collect(),
+            spent: self.row_ledger.since(acked),
             uses: tells_uses.then(|| uses.into_iter().collect()),
         }
     }
@@ -279,7 +320,7 @@
         self.divide();
         let view = self.view(now);
         let interval = self.interval();
-        let near: Vec<u64> = self.near(now, interval).map(|(_, known)| known.report.view).collect();
+        let near: Vec<u64> = self.near(now, interval).map(|(_, known)| known.view).collect();
         let mut heard = near.len() + 1;
         let mut agreeing = near.iter().filter(|other| **other == view).count() + 1;
         for report in self.far.heard(now) {
@@ -301,7 +342,7 @@
     pub fn fullness(&self, now: Instant) -> HashMap<Arc<str>, Vec<f32>> {
         let mut told: HashMap<Arc<str>, Vec<f32>> = HashMap::new();
         for (customer, spent) in
-            self.near(now, self.interval()).flat_map(|(_, known)| &known.report.spent)
+            self.near(now, self.interval()).flat_map(|(_, known)| &known.copy.spent)
         {
             if let Some(fullness) = spent.fullness {
                 told.entry(customer.clone()).or_default().push(fullness);
@@ -316,7 +357,7 @@
         let mut uses = Uses::new();
         let near = self.layout.near().iter().filter_map(|host| self.hosts.get(host));
         let near = near.filter(|known| known.is_reporting(now, interval));
-        for (engine, streams) in near.flat_map(|known| &known.report.uses) {
+        for (engine, streams) in near.flat_map(|known| &known.uses) {
             uses.entry(engine.clone()).or_default().extend(streams);
         }
         uses
@@ -347,13 +388,11 @@
 }
 
 /// What happened between two reports of one run of a host.
-pub(crate) fn changes(old: &[(Arc<str>, Spent)], new: &[(Arc<str>, Spent)]) -> News {
-    let before: HashMap<&Arc<str>, Spent> = old.iter().map(|(name, s)| (name, *s)).collect();
-    let changes = new.iter().map(|(name, spent)| {
-        let earlier = before.get(name).copied().unwrap_or_default();
+pub(crate) fn changes(before: &[Spent], spent: &[(Arc<str>, Spent)]) -> News {
+    let changes = before.iter().zip(spent).map(|(earlier, (customer, spent))| {
         let asked = spent.asked.wrapping_sub(earlier.asked);
         let admitted = spent.admitted.wrapping_sub(earlier.admitted) as i64;
-        (name.clone(), Told { asked, admitted })
+        (customer.clone(), Told { asked, admitted })
     });
     changes.filter(|(_, told)| told.asked != 0 || told.admitted != 0).collect()
 }
--- a/crates/rosemarypitch-forward/tests/neighbours.rs
+++ b/crates/rosemarypitch-forward/tests/neighbours.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use rosemarypitch_forward::layout::{self, Layout};
-use rosemarypitch_forward::neighbours::{HostEntry, Neighbours, News, Told};
-use rosemarypitch_peer::{HostReport, RowReport, Spent, StreamUse};
+use rosemarypitch_forward::neighbours::{HostEntry, Neighbours, News, Own, Told};
+use rosemarypitch_peer::{HostReport, RowReport, Seen, Spent, StreamUse};
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -25,15 +25,16 @@
 }
 
 fn host(name: &str) -> Neighbours {
-    Neighbours::new(Arc::from(name), Arc::from("howrah"))
+    Neighbours::new(Arc::from(name), Arc::from("howrah"), 1)
 }
 
 fn view(names: &[&str]) -> u64 {
     names.iter().fold(0, |sum, name| sum ^ layout::digest(name))
 }
 
-fn report(incarnation: u64, tokens: u64) -> HostReport {
-    HostReport { incarnation, view: view(&["a", "b"]), spent: spend(tokens), uses: Vec::new() }
+fn report(incarnation: u64, sequence: u64, tokens: u64) -> HostReport {
+    let own = Seen { incarnation, sequence };
+    HostReport { own, view: view(&["a", "b"]), spent: spend(tokens), ..HostReport::default() }
 }
 
 fn spend(tokens: u64) -> Vec<(Arc<str>, Spent)> {
@@ -57,9 +58,9 @@
     assert_eq!(share(&mut hosts, now), (1, 1));
     hosts.put(Arc::from("b"), entry());
     assert_eq!(share(&mut hosts, now), (1, 2));
-    hosts.take(now, &Arc::from("b"), report(1, 0), false);
+    hosts.take(now, &Arc::from("b"), report(1, 1, 0), false);
     assert_eq!(share(&mut hosts, now), (1, 2));
-    hosts.take(now, &Arc::from("b"), report(1, 0), true);
+    hosts.take(now, &Arc::from("b"), report(1, 1, 0), true);
     assert_eq!(share(&mut hosts, now), (2, 2));
     assert_eq!(share(&mut hosts, now + ms(700)), (1, 2));
 }
@@ -69,11 +70,11 @@
     let now = Instant::now();
     let other = Arc::from("b");
     let mut hosts = host("a");
-    assert_eq!(hosts.take(now, &other, report(1, 500), true), []);
-    assert_eq!(hosts.take(now, &other, report(1, 700), true), admitted(200));
-    assert_eq!(hosts.take(now, &other, report(1, 650), true), admitted(-50));
-    assert_eq!(hosts.take(now, &other, report(2, 30), true), []);
-    assert_eq!(hosts.take(now, &other, report(2, 40), true), admitted(10));
+    assert_eq!(hosts.take(now, &other, report(1, 1, 500), true), []);
+    assert_eq!(hosts.take(now, &other, report(1, 2, 700), true), admitted(200));
+    assert_eq!(hosts.take(now, &other, report(1, 3, 650), true), admitted(-50));
+    assert_eq!(hosts.take(now, &other, report(2, 1, 30), true), []);
+    assert_eq!(hosts.take(now, &other, report(2, 2, 40), true), admitted(10));
 }
 
 #[test]
@@ -81,7 +82,7 @@
     let now = Instant::now();
     let mut hosts = host("a");
     hosts.put(Arc::from("b"), entry());
-    hosts.take(now, &Arc::from("b"), report(1, 0), true);
+    hosts.take(now, &Arc::from("b"), report(1, 1, 0), true);
     hosts.remove(now, "b");
     assert_eq!(share(&mut hosts, now).1, 2);
     hosts.remove(now + ms(700), "b");
@@ -95,7 +96,7 @@
     for name in ["b", "c"] {
         hosts.put(Arc::from(name), entry());
     }
-    hosts.take(now, &Arc::from("b"), report(1, 0), true);
+    hosts.take(now, &Arc::from("b"), report(1, 1, 0), true);
     let mut names = |due| {
         let mut names: Vec<_> = hosts.to_ask(now, due).into_iter().map(|(name, _)| name).collect();
         names.sort();
@@ -121,7 +122,7 @@
             })
             .collect();
         let hosts = names.iter().map(|(name, zone)| {
-            let mut host = Neighbours::new(name.clone(), zone.clone());
+            let mut host = Neighbours::new(name.clone(), zone.clone(), 1);
             for (other, zone) in &names {
                 host.put(other.clone(), HostEntry { zone: zone.clone(), ..entry() });
             }
@@ -135,14 +136,12 @@
         self.cut.contains(&(a.clone(), b.clone())) || self.cut.contains(&(b.clone(), a.clone()))
     }
 
-    fn report(&self, name: &Arc<str>) -> HostReport {
-        let view = self.hosts[name].view(self.now);
-        HostReport { incarnation: 1, view, ..HostReport::default() }
+    fn report(&mut self, from: &Arc<str>, to: &Arc<str>) -> HostReport {
+        self.hosts.get_mut(from).expect("a host").report(self.now, to, Own::default())
     }
 
     fn row_report(&mut self, from: &Arc<str>, to: &Arc<str>) -> RowReport {
-        let own = self.report(from);
-        self.hosts.get_mut(from).expect("a host").row_report(self.now, own, to)
+        self.hosts.get_mut(from).expect("a host").row_report(self.now, to, Own::default())
     }
 
     /// Lets all exchange for a time.
@@ -159,9 +158,9 @@
                 far.retain(|(to, _)| !self.is_cut(from, to));
                 for (to, _) in near {
                     let hears = self.hosts[from].hears(now, &to);
-                    let ask = self.report(from);
+                    let ask = self.report(from, &to);
                     self.hosts.get_mut(&to).expect("a host").take(now, from, ask, hears);
-                    let reply = self.report(&to);
+                    let reply = self.report(&to, from);
                     self.hosts.get_mut(from).expect("a host").take(now, &to, reply, true);
                 }
                 for (to, _) in far {
@@ -267,11 +266,12 @@
     let engine: Arc<str> = Arc::from("e1");
     let now = fleet.now;
     for tokens in [100, 350] {
-        let mut report = fleet.report(&from);
-        report.spent = spend(tokens);
-        report.uses = vec![(engine.clone(), vec![StreamUse { held: 60, growth: 4 }; 2])];
+        let uses = vec![(engine.clone(), vec![StreamUse { held: 60, growth: 4 }; 2])];
+        let own = Own { spent: spend(tokens), uses };
         for name in &near {
-            fleet.hosts.get_mut(*name).expect("a host").take(now, &from, report.clone(), true);
+            let host = fleet.hosts.get_mut(&from).expect("a host");
+            let report = host.report(now, name, own.clone());
+            fleet.hosts.get_mut(*name).expect("a host").take(now, &from, report, true);
         }
     }
     // A host of the row tells; the sum holds all that came after the first report.
@@ -279,12 +279,40 @@
     let told = fleet.row_report(teller, &Arc::from("somebody"));
     assert_eq!(told.spent, spend(350));
     let listener = fleet.hosts.get_mut(far[0]).expect("a host");
-    listener.take_row(now + ms(9_000), teller, told.clone());
-    let later = RowReport { spent: spend(400), ..told };
-    let changes = listener.take_row(now + ms(9_250), teller, later);
+    let later = now + ms(9_000);
+    listener.take_row(later, teller, told.clone());
+    let own = Seen { sequence: told.own.sequence + 1, ..told.own };
+    let changes = listener.take_row(later, teller, RowReport { own, spent: spend(400), ..told });
     assert_eq!(changes, admitted(50));
-    let uses = listener.far_uses(now + ms(9_250));
-    assert_eq!(uses[&engine], vec![StreamUse { held: 60, growth: 4 }; 2]);
+    assert_eq!(listener.far_uses(later)[&engine], vec![StreamUse { held: 60, growth: 4 }; 2]);
+}
+
+#[test]
+fn only_what_has_changed_is_told_again() {
+    let now = Instant::now();
+    let (a, b) = (Arc::from("a"), Arc::from("b"));
+    let mut hosts = (host("a"), host("b"));
+    let own = |tokens| Own { spent: spend(tokens), uses: Vec::new() };
+    let ask = hosts.0.report(now, &b, own(100));
+    assert_eq!(ask.spent, spend(100));
+    hosts.1.take(now, &a, ask, true);
+    // Until the other host says that it has come, it is told again.
+    assert_eq!(hosts.0.report(now, &b, own(100)).spent, spend(100));
+    let reply = hosts.1.report(now, &a, Own::default());
+    hosts.0.take(now, &b, reply, true);
+    assert_eq!(hosts.0.report(now, &b, own(100)).spent, []);
+    assert_eq!(hosts.0.report(now, &b, own(130)).spent, spend(130));
+}
+
+#[test]
+fn a_report_that_was_overtaken_is_passed_over() {
+    let now = Instant::now();
+    let other = Arc::from("b");
+    let mut hosts = host("a");
+    hosts.take(now, &other, report(1, 1, 100), true);
+    assert_eq!(hosts.take(now, &other, report(1, 3, 400), true), admitted(300));
+    assert_eq!(hosts.take(now, &other, report(1, 2, 200), true), []);
+    assert_eq!(hosts.take(now, &other, report(1, 4, 500), true), admitted(100));
 }
 
 #[test]
--- a/crates/rosemarypitch-peer/src/lib.rs
+++ b/crates/rosemarypitch-peer/src/lib.rs
@@ -21,6 +21,6 @@
 pub use member::{Change, Member, Members, MembersRules};
 pub use message::{
     Ask, Beat, BorrowAsk, BorrowItem, DebitAsk, DebitReply, Giveback, HostReport, LoanReply, Note,
-    PlaceAsk, PlaceReply, PoolKey, Reply, RowReport, Sighting, Spent, StreamUse, UseSum,
+    PlaceAsk, PlaceReply, PoolKey, Reply, RowReport, Seen, Sighting, Spent, StreamUse, UseSum,
 };
 pub use server::{Handler, HandlerCall, PeerServer};
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -84,16 +84,28 @@
 /// What one run of a host admitted and uses.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct HostReport {
-    /// Which run of the host.
-    pub incarnation: u64,
+    /// Which run of the host, and which of its reports.
+    pub own: Seen,
+    /// The receiver's last report that has come.
+    pub seen: Seen,
     /// Digest of the hosts that it hears, itself included.
     pub view: u64,
-    /// What customers asked for and got since it started.
+    /// What customers asked for and got since it started, where that has changed since the
+    /// last report that has come to the receiver.
     pub spent: Vec<(Arc<str>, Spent)>,
     /// Streams at each engine.
     pub uses: Vec<(Arc<str>, Vec<StreamUse>)>,
 }
 
+/// A report of a host; 0 for none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Which run of the host.
+    pub incarnation: u64,
+    /// Which of its reports.
+    pub sequence: u64,
+}
+
 /// Tokens of one customer; the sums wrap around.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Spent {
@@ -117,15 +129,18 @@
 /// What the hosts of a row that one of them hears admitted and use, itself included.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RowReport {
-    /// Which run of the host that tells.
-    pub incarnation: u64,
+    /// Which run of the host that tells, and which of its reports.
+    pub own: Seen,
+    /// The receiver's last report that has come.
+    pub seen: Seen,
     /// Digest of the hosts.
     pub members: u64,
     /// How many they are.
     pub hosts: u32,
     /// Their views, and how many have each.
     pub views: Vec<(u64, u32)>,
-    /// What customers asked for and got since the host that tells started.
+    /// What customers asked for and got since the host that tells started, where that has
+    /// changed since the last report that has come to the receiver.
     pub spent: Vec<(Arc<str>, Spent)>,
     /// Use of each engine; none if it was told a moment ago.
     pub uses: Option<Vec<(Arc<str>, UseSum)>>,
