Let watches wait by the time in which news must be in force; agree from the start

A host that started was alone with its part until all views agreed, which takes longer between rows.

Change: the wait follows the settings of the platform, less 0.7 s to notice a silent watch. A host that starts has the time of a disagreement to come to agree; that time counts rows.

--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -17,9 +17,10 @@
 use crate::roster::{Roster, Upstream};
 use crate::router::Router;
 
-/// Longest wait of a watch: with the time to notice a silent one it stays below the two
-/// seconds after which a leaving upstream must get nothing.
-pub const WATCH_WAIT: Duration = Duration::from_millis(1_300);
+/// Time to notice that a watch is silent, and to act on it.
+const SILENT_TIME: Duration = Duration::from_millis(700);
+/// Shortest longest wait of a watch; each watch is a call to the store.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(300);
 /// Time after news in which more news gather: changes come in series, and every host asks
 /// again after each.
 const GATHER_TIME: Duration = Duration::from_millis(100);
@@ -52,6 +53,12 @@
     }
 }
 
+/// Longest wait of a watch, if news have to be in force after some time: also those that a
+/// silent watch does not bring, such as of an upstream that leaves.
+pub fn watch_wait(news: Duration) -> Duration {
+    news.saturating_sub(SILENT_TIME).max(MIN_WATCH_WAIT)
+}
+
 struct Follower {
     router: Arc<Router>,
     gossip: Arc<Gossip>,
@@ -144,7 +151,8 @@
             }
             let due = self.router.roster_due().map(|due| due.saturating_duration_since(now));
             // After an outage the first watch only asks whether the store is back.
-            let longest = if self.outage { Duration::ZERO } else { WATCH_WAIT };
+            let longest =
+                if self.outage { Duration::ZERO } else { watch_wait(self.router.limits().news) };
             let wait = due.unwrap_or(longest).min(longest);
             let result = self.router.directory.watch(self.revision, wait).await;
             let now = Instant::now();
--- a/crates/rosemarypitch-forward/src/neighbours.rs
+++ b/crates/rosemarypitch-forward/src/neighbours.rs
@@ -33,7 +33,8 @@
 /// Shortest time for which differing views are waited out: a host that stops answering is
 /// missed by the others within half a second of each other, and tells so in the next.
 const MIN_AGREE_TIME: Duration = Duration::from_millis(1_500);
-/// Exchanges in which views come to agree: one to miss a host and two to tell.
+/// Exchanges in which views come to agree: one to miss a host and two to tell, in the row
+/// and between rows.
 const AGREE_EXCHANGES: u32 = 3;
 
 /// The other hosts.
@@ -331,10 +332,12 @@
         if agreeing >= heard {
             self.agreed = Some(now);
         }
-        let patience = (interval * AGREE_EXCHANGES).max(MIN_AGREE_TIME);
-        let agreed = self.agreed.is_some_and(|at| now.saturating_duration_since(at) <= patience);
         let far = self.layout.others().next().is_some();
         let lag = if far { interval + FAR_INTERVAL } else { interval };
+        let patience = (lag * AGREE_EXCHANGES).max(MIN_AGREE_TIME);
+        // A host that starts gets as much time: it knows nobody yet.
+        let agreed = *self.agreed.get_or_insert(now);
+        let agreed = now.saturating_duration_since(agreed) <= patience;
         Share { heard: if agreed { heard } else { agreeing }, hosts: self.hosts.len() + 1, lag }
     }
 
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -15,6 +15,7 @@
 
 use crate::balance::Balance;
 use crate::budget::{RepeatBudget, RepeatRules};
+use crate::control;
 use crate::edge::{Dialect, Directory};
 use crate::layout::Layout;
 use crate::metrics::Metrics;
@@ -25,9 +26,9 @@
 use crate::site::Site;
 use crate::tuning::PoolTuning;
 
-/// Time since the last word from the store or a peer after which a host may be behind.
-/// Twice the longest wait of a watch.
-const CURRENT_TIME: Duration = Duration::from_millis(3_500);
+/// Time after the longest wait of a watch without a word from the store or a peer after
+/// which a host may be behind: a watch that is lost and a few more tries.
+const BEHIND_TIME: Duration = Duration::from_millis(2_200);
 
 /// Settings of a router.
 #[derive(Clone, Debug)]
@@ -59,6 +60,8 @@
 pub struct LimitSettings {
     /// Longest time of a graceful shutdown.
     pub grace: Duration,
+    /// Longest time after which news of the store have to be in force.
+    pub news: Duration,
     /// Bounds on repeats.
     pub repeats: RepeatRules,
     /// What is tolerated of limits.
@@ -245,7 +248,8 @@
 
     /// Whether the configuration in force is the newest one, for all that is known.
     pub fn is_current(&self, now: Instant) -> bool {
-        lock(&self.heard).is_some_and(|at| now.duration_since(at) < CURRENT_TIME)
+        let longest = control::watch_wait(self.limits().news) + BEHIND_TIME;
+        lock(&self.heard).is_some_and(|at| now.duration_since(at) < longest)
     }
 
     /// Whether the host takes callers.
--- a/crates/rosemarypitch-forward/tests/neighbours.rs
+++ b/crates/rosemarypitch-forward/tests/neighbours.rs
@@ -163,6 +163,8 @@
                     let reply = self.report(&to, from);
                     self.hosts.get_mut(from).expect("a host").take(now, &to, reply, true);
                 }
+                // As a host does each tenth of a second.
+                self.hosts.get_mut(from).expect("a host").share(now);
                 for (to, _) in far {
                     let (ask, reply) = (self.row_report(from, &to), self.row_report(&to, from));
                     self.hosts.get_mut(&to).expect("a host").take_row(now, from, ask);
--- a/crates/rosemarypitch/tests/soak/process.rs
+++ b/crates/rosemarypitch/tests/soak/process.rs
@@ -23,6 +23,7 @@
             "nodeName={name}\nip=127.0.0.1\nzone=howrah\nlisten.frontend=127.0.0.1:{callers}\n\
              listen.readiness=127.0.0.1:{readiness}\ninternalPorts={internal},{}\n\
              limits.cores=1\nbounds.graceS=4\n\
+             bounds.drainMs=2000\nbounds.configApplyMs=2000\n\
              bounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\nbounds.retryAllowance=56\n\
              bounds.quotaWindowS={}\nbounds.quotaOverrun={OVERRUN}\n\
              bounds.quotaAllowance={ALLOWANCE}\nplatform.address={store}\n",
