Ask the engine that keeps the prompt first when a stream's connection breaks

Change: the engine that answered last is asked first, once, without a new prefill; another engine follows as before.

--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -80,11 +80,17 @@
     prefilled: bool,
     /// Engines whose KV cache could not be had.
     lapsed: Vec<Arc<str>>,
+    /// The engine that answered last: if only the connection broke, it still keeps the
+    /// prompt. None once it has been asked again.
+    last: Option<Arc<str>>,
+    /// Whether the present engine is that one again.
+    kept: bool,
 }
 
 impl Default for Tries {
     fn default() -> Self {
-        Self { ran: Ran::No, rounds: 0, runs: 0, prefilled: false, lapsed: Vec::new() }
+        let lapsed = Vec::new();
+        Self { ran: Ran::No, rounds: 0, runs: 0, prefilled: false, lapsed, last: None, kept: false }
     }
 }
 
@@ -116,7 +122,7 @@
     fn note(&mut self, refusal: Refusal) -> Refusal {
         if refusal.ran == Ran::Maybe {
             self.ran = Ran::Maybe;
-            self.runs += 1;
+            self.runs += u32::from(!self.kept);
         }
         match self.ran {
             Ran::No => refusal,
@@ -146,7 +152,7 @@
     loop {
         let failure = match attempt(router, call, tries, after).await {
             Ok(opened) => {
-                tries.runs += 1;
+                tries.runs += u32::from(!tries.kept);
                 return Ok(opened);
             }
             Err(failure) => failure,
@@ -173,7 +179,8 @@
 ) -> Result<Opened, Failure> {
     let queued = Instant::now();
     let again = tries.rounds > 0 || after.is_some();
-    let place = place::reserve(router, call, again, after).await?;
+    let last = tries.last.take();
+    let place = place::reserve(router, call, again, after, last.as_ref()).await?;
     router.metrics.queue(&call.service.name, call.customer_name(), queued.elapsed());
     call::check_again(router, call)?;
     log::info!(
@@ -186,7 +193,9 @@
         queued.elapsed().as_millis(),
     );
     tries.rounds += 1;
-    let source = prefill::prefill(router, call, tries).await?;
+    tries.kept = last.is_some_and(|last| last == place.engine.id);
+    tries.last = (!tries.kept).then(|| place.engine.id.clone());
+    let source = if tries.kept { None } else { prefill::prefill(router, call, tries).await? };
     decode::decode(router, call, tries, place, source, after).await
 }
 
--- a/crates/rosemarypitch-forward/src/generate/place.rs
+++ b/crates/rosemarypitch-forward/src/generate/place.rs
@@ -62,16 +62,23 @@
     }
 }
 
-/// Waits for a slot, and reserves it at the engine; `again` if the request had one before.
+/// Waits for a slot, and reserves it at the engine; `again` if the request had one before,
+/// `last` the engine that it had it at.
 pub async fn reserve(
     router: &Arc<Router>,
     call: &Arc<Call>,
     again: bool,
     after: Option<&Position>,
+    last: Option<&Arc<str>>,
 ) -> Result<Place, Refusal> {
     let mut ask = place_ask(router, call, again, after);
+    let mut last = last.filter(|_| after.is_some());
     for _ in 0..MAX_HOLDS {
-        let placed = router.place(&call.service.name, ask).await;
+        let kept = last.take().and_then(|id| router.place_at(&call.service.name, id, ask));
+        let placed = match kept {
+            Some(placed) => Ok(placed),
+            None => router.place(&call.service.name, ask).await,
+        };
         let Placed { ticket, engine } = placed
             .map_err(|retry| Refusal::not_run(Cause::Busy).after(retry_after(call, retry)))?;
         let mut place = Place {
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -12,19 +12,26 @@
 //! other hosts tell of. The engine itself has the last word: a slot that it does not
 //! reserve blocks it here for a moment.
 
+mod demand;
+mod engine;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemarypitch_limit::rank;
 use tokio::time::Instant;
 
 use crate::edge::Tokens;
 use crate::health::{Health, Outcome};
-use crate::memory::{self, StreamUse};
+use crate::memory::StreamUse;
 use crate::roster::{Stage, Upstream};
 use crate::site::EngineSize;
 use crate::tuning::PoolTuning;
 
+use demand::Demand;
+use engine::{Engine, Running};
+
 /// Time for which an engine that refused a slot is not asked again; about one event.
 const FULL_PAUSE: Duration = Duration::from_millis(50);
 /// Time that a request holds a slot, until some have been seen to end.
@@ -35,8 +42,8 @@
 const FIRST_SPEED: f64 = 40.0;
 /// Weight of the newest prompt in the mean speed.
 const SPEED_WEIGHT: f64 = 0.1;
-/// Time over which the demand is averaged: a burst is seen within it.
-const DEMAND_TIME: Duration = Duration::from_millis(1_000);
+/// Odd factor that spreads the bits of a ticket; 2^64 over the golden ratio.
+const SPREAD_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Least part of the drain that late requests are forecast to get.
 const MIN_LATE_PART: f64 = 0.1;
 /// Weight of the newest guess in the mean guess.
@@ -93,6 +100,7 @@
 #[derive(Debug)]
 pub struct Pool {
     size: EngineSize,
+    host: Arc<str>,
     zone: Arc<str>,
     tuning: PoolTuning,
     engines: HashMap<Arc<str>, Engine>,
@@ -121,63 +129,12 @@
 /// Streams at each engine.
 pub type Uses = HashMap<Arc<str>, Vec<StreamUse>>;
 
-/// Memory that callers ask for, averaged over a short time.
-#[derive(Debug, Default)]
-struct Demand {
-    tokens: f64,
-    at: Option<Instant>,
-}
-
-impl Demand {
-    fn add(&mut self, now: Instant, tokens: u64) {
-        self.tokens = self.level(now) + tokens as f64;
-        self.at = Some(now);
-    }
-
-    fn level(&self, now: Instant) -> f64 {
-        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.tokens * (-age.as_secs_f64() / DEMAND_TIME.as_secs_f64()).exp()
-    }
-
-    /// Tokens a second.
-    fn rate(&self, now: Instant) -> f64 {
-        self.level(now) / DEMAND_TIME.as_secs_f64()
-    }
-}
-
-#[derive(Debug)]
-struct Engine {
-    upstream: Arc<Upstream>,
-    own: HashMap<Ticket, Running>,
-    /// Streams of other hosts of the row.
-    near: Vec<StreamUse>,
-    /// Streams of hosts of other rows.
-    far: Vec<StreamUse>,
-    /// Prompt tokens that this host waits for.
-    reading: u64,
-    full: Option<Instant>,
-    health: Health,
-}
-
-/// A request of this host at an engine.
-#[derive(Clone, Copy, Debug)]
-struct Running {
-    prompt: u64,
-    made: u64,
-    expected: u64,
-}
-
-impl Running {
-    fn memory(&self) -> StreamUse {
-        memory::stream(self.prompt, self.made, self.expected)
-    }
-}
-
 impl Pool {
     /// A pool without engines, for a host in `zone`.
-    pub fn new(size: EngineSize, zone: Arc<str>, tuning: PoolTuning) -> Self {
+    pub fn new(size: EngineSize, host: Arc<str>, zone: Arc<str>, tuning: PoolTuning) -> Self {
         Self {
             size,
+            host,
             zone,
             tuning,
             engines: HashMap::new(),
@@ -347,6 +304,17 @@
         }
     }
 
+    /// Places a request at an engine of its choice if there is room now.
+    pub fn place_at(&mut self, now: Instant, id: &Arc<str>, ask: &Ask) -> Option<Arc<Upstream>> {
+        let named = self.engines.get_key_value(id);
+        self.cheapest(now, ask, named.into_iter())?;
+        let engine = self.engines.get_mut(id)?;
+        let running = Running { prompt: ask.prompt, made: 0, expected: ask.output };
+        engine.own.insert(ask.ticket, running);
+        self.used.insert(id.clone());
+        Some(engine.upstream.clone())
+    }
+
     /// Refuses what will not be placed in time, or not at all, by forecast.
     fn refuse(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
         let drain = self.drain();
@@ -425,11 +393,21 @@
             let peak = engine.peak(ask);
             // A request as large as the engine passes an empty one.
             let fits = peak <= memory || engine.slots() == 0;
-            fits.then(|| (self.decode_cost(now, engine, peak), id))
+            fits.then(|| (self.decode_cost(now, engine, peak) + self.spread(ask, id), id))
         });
         costs.min_by(|a, b| a.0.total_cmp(&b.0))
     }
 
+    /// A cost that differs by host, request and engine.
+    fn spread(&self, ask: &Ask, id: &str) -> f64 {
+        if self.tuning.spread_cost == 0.0 {
+            return 0.0;
+        }
+        let drawn = rank(id, &self.host) ^ ask.ticket.wrapping_mul(SPREAD_FACTOR);
+        let drawn = drawn.wrapping_mul(SPREAD_FACTOR) >> 32;
+        self.tuning.spread_cost * drawn as f64 / f64::from(u32::MAX)
+    }
+
     fn decode_cost(&self, now: Instant, engine: &Engine, peak: u64) -> f64 {
         let memory = peak as f64 / self.size.tokens.max(1) as f64;
         let slots = engine.slots() as f64 / f64::from(self.size.slots.max(1));
@@ -523,30 +501,6 @@
     }
 }
 
-impl Engine {
-    /// Whether it makes tokens; one that names no stage does everything.
-    fn is_decode(&self) -> bool {
-        self.upstream.stage != Some(Stage::Prefill)
-    }
-
-    /// Whether the engine may be given a request at all.
-    fn is_open(&self, now: Instant) -> bool {
-        self.is_decode() && !self.health.is_avoided(now) && self.full.is_none_or(|end| end <= now)
-    }
-
-    fn slots(&self) -> usize {
-        self.own.len() + self.near.len() + self.far.len()
-    }
-
-    /// The most memory that the engine's streams will hold together with one more.
-    fn peak(&self, ask: &Ask) -> u64 {
-        let own = self.own.values().map(Running::memory);
-        let foreign = self.near.iter().chain(&self.far).copied();
-        let new = memory::stream(ask.prompt, 0, ask.output);
-        memory::peak(own.chain(foreign).chain([new]).collect())
-    }
-}
-
 /// How a prefill ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PrefillEnd {
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -4,13 +4,15 @@
 //! read them and keep the pools, balances, buckets and budgets. Locks are held for single
 //! steps of the pure state machines, never across a wait.
 
+mod placing;
+
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use crate::balance::Balance;
@@ -19,13 +21,16 @@
 use crate::edge::{Dialect, Directory};
 use crate::layout::Layout;
 use crate::metrics::Metrics;
-use crate::pool::{Ask, Decision, DecodeEnd, Likely, Pool, Ticket};
+use crate::pool::Pool;
 use crate::quota::{Quota, QuotaRules, Share};
 use crate::relayed::{Have, Known};
 use crate::roster::{Roster, Upstream};
 use crate::site::Site;
 use crate::tuning::PoolTuning;
 
+use placing::Pools;
+pub use placing::{PlaceAsk, Placed};
+
 /// Time after the longest wait of a watch without a word from the store or a peer after
 /// which a host may be behind: a watch that is lost and a few more tries.
 const BEHIND_TIME: Duration = Duration::from_millis(2_200);
@@ -110,14 +115,6 @@
     Finishing,
 }
 
-#[derive(Default)]
-struct Pools {
-    pools: HashMap<Arc<str>, Pool>,
-    waiters: HashMap<Ticket, Reply>,
-}
-
-type Reply = oneshot::Sender<Result<Arc<Upstream>, Duration>>;
-
 impl Router {
     /// A host that knows nothing yet.
     pub fn new(
@@ -309,7 +306,10 @@
             match service.engine {
                 Some(size) => {
                     let mut pools = lock(&self.pools);
-                    let fresh = || Pool::new(size, self.settings.zone.clone(), self.settings.pool);
+                    let fresh = || {
+                        let settings = &self.settings;
+                        Pool::new(size, settings.host.clone(), settings.zone.clone(), settings.pool)
+                    };
                     let pool = pools.pools.entry(name.clone()).or_insert_with(fresh);
                     pool.replace(&list, size, hosts);
                     pool.set_homes(homes(&lock(&self.layout), &list));
@@ -361,156 +361,6 @@
         let fresh = || RepeatBudget::new(rules);
         f(budgets.entry(service.clone()).or_insert_with(fresh))
     }
-
-    /// Waits for a decode engine; an error tells when to come back.
-    pub async fn place(&self, service: &str, ask: PlaceAsk) -> Result<Placed, Duration> {
-        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
-        let (reply, answer) = oneshot::channel();
-        {
-            let mut pools = lock(&self.pools);
-            let Some(pool) = pools.pools.get_mut(service) else { return Err(Duration::ZERO) };
-            let PlaceAsk { prompt, likely, returned, due, patience, again } = ask;
-            let Likely { output, cost } = likely;
-            let waiting = Ask { ticket, prompt, output, cost, returned, due, patience };
-            if again {
-                pool.push_again(waiting)
-            } else {
-                pool.push(Instant::now(), waiting)
-            }
-            pools.waiters.insert(ticket, reply);
-        }
-        let mut queued = Queued { router: self, service, ticket, answer };
-        self.decide(Instant::now());
-        self.queued.notify_one();
-        let engine = (&mut queued.answer).await.unwrap_or(Err(Duration::ZERO))?;
-        Ok(Placed { ticket, engine })
-    }
-
-    /// Frees what a request held at an engine.
-    pub fn release(&self, service: &str, engine: &str, ticket: Ticket, end: DecodeEnd) {
-        let now = Instant::now();
-        self.with_pool(service, |pool| pool.release(now, engine, ticket, end));
-        self.used.notify_one();
-        self.decide(now);
-    }
-
-    /// Tells waiting requests what has been decided.
-    pub fn decide(&self, now: Instant) {
-        let mut pools = lock(&self.pools);
-        let Pools { pools, waiters } = &mut *pools;
-        for pool in pools.values_mut() {
-            // A caller may have left in the meantime; its place goes to the next.
-            loop {
-                let mut unclaimed = false;
-                let decisions = pool.decide(now);
-                if decisions.iter().any(|decision| matches!(decision, Decision::Place(..))) {
-                    self.used.notify_one();
-                }
-                for decision in decisions {
-                    unclaimed |= !deliver(now, pool, waiters, decision);
-                }
-                if !unclaimed {
-                    break;
-                }
-            }
-        }
-    }
-
-    /// Waits until this host uses other engines than before.
-    pub async fn uses_changed(&self) {
-        self.used.notified().await;
-    }
-
-    /// Decides again and again while requests wait.
-    pub async fn keep_deciding(&self) {
-        /// Time between two looks at the queues; short against an event of 50 ms.
-        const LOOK: Duration = Duration::from_millis(15);
-        loop {
-            self.queued.notified().await;
-            while lock(&self.pools).pools.values().any(Pool::is_waiting) {
-                tokio::time::sleep(LOOK).await;
-                self.decide(Instant::now());
-            }
-        }
-    }
-
-    fn cancel(&self, service: &str, ticket: Ticket) {
-        let mut pools = lock(&self.pools);
-        pools.waiters.remove(&ticket);
-        if let Some(pool) = pools.pools.get_mut(service) {
-            pool.cancel(ticket);
-        }
-    }
-}
-
-/// What a request needs at a decode engine.
-#[derive(Clone, Copy, Debug)]
-pub struct PlaceAsk {
-    /// Prompt tokens.
-    pub prompt: u64,
-    /// What else it is likely to need.
-    pub likely: Likely,
-    /// Whether the caller has come back after a refusal.
-    pub returned: bool,
-    /// When the first event should reach the caller.
-    pub due: Instant,
-    /// When the caller gives up, if nothing has come.
-    pub patience: Instant,
-    /// Whether it had a place before.
-    pub again: bool,
-}
-
-/// A place at a decode engine.
-#[derive(Clone, Debug)]
-pub struct Placed {
-    /// Names the request in its pool.
-    pub ticket: Ticket,
-    /// The engine.
-    pub engine: Arc<Upstream>,
-}
-
-/// A request in a queue; a caller that leaves gives its place back.
-struct Queued<'a> {
-    router: &'a Router,
-    service: &'a str,
-    ticket: Ticket,
-    answer: oneshot::Receiver<Result<Arc<Upstream>, Duration>>,
-}
-
-impl Drop for Queued<'_> {
-    fn drop(&mut self) {
-        self.router.cancel(self.service, self.ticket);
-        // A place that was given but not taken; nothing is left of one that was taken.
-        if let Ok(Ok(engine)) = self.answer.try_recv() {
-            self.router.release(self.service, &engine.id, self.ticket, DecodeEnd::Cancelled);
-        }
-    }
-}
-
-/// Gives a decision to the request that waits for it; false if it waits no more.
-fn deliver(
-    now: Instant,
-    pool: &mut Pool,
-    waiters: &mut HashMap<Ticket, Reply>,
-    decision: Decision,
-) -> bool {
-    match decision {
-        Decision::Place(ticket, engine) => {
-            let id = engine.id.clone();
-            let sent = waiters.remove(&ticket).is_some_and(|reply| reply.send(Ok(engine)).is_ok());
-            if !sent {
-                pool.release(now, &id, ticket, DecodeEnd::Cancelled);
-            }
-            sent
-        }
-        Decision::Refuse(ticket, retry) => {
-            if let Some(reply) = waiters.remove(&ticket) {
-                // A caller that has left needs no answer.
-                let _ = reply.send(Err(retry));
-            }
-            true
-        }
-    }
 }
 
 fn homes(layout: &Option<Arc<Layout>>, engines: &[Arc<Upstream>]) -> Option<HashSet<Arc<str>>> {
