Give large requests equal chances at every limit; notice unheard hosts sooner

At 33 hosts a host that is cut off was missed after 3.2 s.

Change: small is what takes at most half a hundredth of a bucket. A host counts as unheard after two exchanges and 0.3 s. Hosts tell of each admitted model request at once, not only of placed ones.

Ruled out, each built and taken out: counting only what fresh hosts leave; a demand that falls slowly; both change no case of tests/fleet.rs.

--- a/crates/rosemarypitch-forward/src/bucket.rs
+++ b/crates/rosemarypitch-forward/src/bucket.rs
@@ -14,8 +14,6 @@
 /// Multiple of the lag for which the demand is looked ahead: hosts that answer to what they
 /// hear late would else all admit together and all refuse together.
 const LAGS_AHEAD: u32 = 2;
-/// Part of a full bucket above which nobody is refused for what may be admitted unheard.
-const PLENTY_PART: f64 = 0.5;
 /// Part of a full bucket by which buckets of different hosts may differ: what is admitted
 /// within the lag.
 const APART_PART: f64 = 0.3;
@@ -88,6 +86,10 @@
     /// Counts what a caller asks for.
     pub fn ask(&mut self, share: Share, tokens: u64) {
         self.spent.asked = self.spent.asked.wrapping_add(tokens);
+        self.add_demand(share, tokens);
+    }
+
+    fn add_demand(&mut self, share: Share, tokens: u64) {
         self.demand += tokens as f64 / demand_time(share).as_secs_f64();
     }
 
@@ -106,17 +108,14 @@
     /// Counts what happened at other hosts.
     pub fn heard(&mut self, share: Share, told: Told) {
         self.level -= told.admitted as f64;
-        self.demand += told.asked as f64 / demand_time(share).as_secs_f64();
+        self.add_demand(share, told.asked);
     }
 
     /// Chance of a request, so that all hosts together admit what is left in the time in
     /// which they do not hear of it.
-    pub fn chance(&self, share: Share, capacity: f64) -> f64 {
+    pub fn chance(&self, share: Share) -> f64 {
         let ahead = (share.lag * LAGS_AHEAD).as_secs_f64() * self.demand;
-        if self.level >= ahead.min(PLENTY_PART * capacity) {
-            return 1.0;
-        }
-        (self.level / ahead).max(0.0)
+        if self.level >= ahead { 1.0 } else { (self.level / ahead).max(0.0) }
     }
 
     /// Whether it has differed from those of other hosts for longer than lag explains.
--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -252,6 +252,10 @@
     let draw = rand::random_range(0.0..1.0);
     let taken =
         router.with_quota(|quota| quota.take(Instant::now(), customer, share, tokens, draw));
+    if taken.is_ok() && call.facts.tokens.is_some() {
+        // Large requests use up a limit within the time between reports.
+        router.tell_soon();
+    }
     taken.map_err(|retry| Refusal::not_run(Cause::OverLimit).after(retry))
 }
 
--- a/crates/rosemarypitch-forward/src/far.rs
+++ b/crates/rosemarypitch-forward/src/far.rs
@@ -17,7 +17,7 @@
 /// these engines only when their own are full.
 const USES_INTERVAL: Duration = Duration::from_millis(900);
 /// Exchanges that may be missed before a row counts as unheard.
-const MISSES: u32 = 5;
+const MISSES: u32 = 3;
 /// Exchanges that may be missed before another partner of the row is asked.
 const PARTNER_MISSES: u32 = 2;
 
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -137,10 +137,10 @@
         }
     }
 
-    /// Tells the row at once when this host uses other engines than before.
+    /// Tells the row at once when this host uses other engines than before, or much of a limit.
     async fn push(self: Arc<Self>, peers: Arc<Peers>) {
         loop {
-            self.router.uses_changed().await;
+            self.router.changed().await;
             tokio::time::sleep(PUSH_PAUSE).await;
             let heard = self.lock().heard(Instant::now());
             for (host, address) in heard {
--- a/crates/rosemarypitch-forward/src/neighbours.rs
+++ b/crates/rosemarypitch-forward/src/neighbours.rs
@@ -28,8 +28,10 @@
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(20);
 /// Shortest time between exchanges of two hosts; short against a stream of three seconds.
 pub const MIN_INTERVAL: Duration = Duration::from_millis(100);
-/// Exchanges that may be missed before a host counts as unheard.
-const MISSES: u32 = 5;
+/// Exchanges after which a host counts as unheard: one may be missed.
+const MISSES: u32 = 2;
+/// Time beyond that for an exchange that takes long: a lost packet is sent again.
+const MISS_SLACK: Duration = Duration::from_millis(300);
 /// Shortest time for which differing views are waited out: a host that stops answering is
 /// missed by the others within half a second of each other, and tells so in the next.
 const MIN_AGREE_TIME: Duration = Duration::from_millis(1_500);
@@ -338,7 +340,8 @@
         // A host that starts gets as much time: it knows nobody yet.
         let agreed = *self.agreed.get_or_insert(now);
         let agreed = now.saturating_duration_since(agreed) <= patience;
-        Share { heard: if agreed { heard } else { agreeing }, hosts: self.hosts.len() + 1, lag }
+        let heard = if agreed { heard } else { agreeing };
+        Share { heard, hosts: self.hosts.len() + 1, lag }
     }
 
     /// How full the buckets of hosts of the row are, by customer.
@@ -382,7 +385,7 @@
     }
 
     fn is_reporting(&self, now: Instant, interval: Duration) -> bool {
-        self.reported.is_some_and(|at| now.duration_since(at) <= interval * MISSES)
+        self.reported.is_some_and(|at| now.duration_since(at) <= interval * MISSES + MISS_SLACK)
     }
 
     fn is_heard(&self, now: Instant, interval: Duration) -> bool {
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -19,7 +19,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemarypitch_limit::rank;
 use tokio::time::Instant;
 
 use crate::edge::Tokens;
@@ -42,8 +41,6 @@
 const FIRST_SPEED: f64 = 40.0;
 /// Weight of the newest prompt in the mean speed.
 const SPEED_WEIGHT: f64 = 0.1;
-/// Odd factor that spreads the bits of a ticket; 2^64 over the golden ratio.
-const SPREAD_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Least part of the drain that late requests are forecast to get.
 const MIN_LATE_PART: f64 = 0.1;
 /// Weight of the newest guess in the mean guess.
@@ -100,7 +97,6 @@
 #[derive(Debug)]
 pub struct Pool {
     size: EngineSize,
-    host: Arc<str>,
     zone: Arc<str>,
     tuning: PoolTuning,
     engines: HashMap<Arc<str>, Engine>,
@@ -131,10 +127,9 @@
 
 impl Pool {
     /// A pool without engines, for a host in `zone`.
-    pub fn new(size: EngineSize, host: Arc<str>, zone: Arc<str>, tuning: PoolTuning) -> Self {
+    pub fn new(size: EngineSize, zone: Arc<str>, tuning: PoolTuning) -> Self {
         Self {
             size,
-            host,
             zone,
             tuning,
             engines: HashMap::new(),
@@ -393,21 +388,11 @@
             let peak = engine.peak(ask);
             // A request as large as the engine passes an empty one.
             let fits = peak <= memory || engine.slots() == 0;
-            fits.then(|| (self.decode_cost(now, engine, peak) + self.spread(ask, id), id))
+            fits.then(|| (self.decode_cost(now, engine, peak), id))
         });
         costs.min_by(|a, b| a.0.total_cmp(&b.0))
     }
 
-    /// A cost that differs by host, request and engine.
-    fn spread(&self, ask: &Ask, id: &str) -> f64 {
-        if self.tuning.spread_cost == 0.0 {
-            return 0.0;
-        }
-        let drawn = rank(id, &self.host) ^ ask.ticket.wrapping_mul(SPREAD_FACTOR);
-        let drawn = drawn.wrapping_mul(SPREAD_FACTOR) >> 32;
-        self.tuning.spread_cost * drawn as f64 / f64::from(u32::MAX)
-    }
-
     fn decode_cost(&self, now: Instant, engine: &Engine, peak: u64) -> f64 {
         let memory = peak as f64 / self.size.tokens.max(1) as f64;
         let slots = engine.slots() as f64 / f64::from(self.size.slots.max(1));
--- a/crates/rosemarypitch-forward/src/quota.rs
+++ b/crates/rosemarypitch-forward/src/quota.rs
@@ -78,6 +78,9 @@
 /// Part of a bucket that is left to small requests: one long prompt counts as much as
 /// dozens of calls of a desk, which a customer's long jobs must not shut out.
 const SMALL_RESERVE: f64 = 0.05;
+/// Largest part of a full bucket that a small request takes; calls of a desk take a part in
+/// a thousand, long prompts some hundredths.
+const SMALL_PART: f64 = 0.005;
 
 /// Buckets of one host.
 #[derive(Debug)]
@@ -122,11 +125,11 @@
         let bucket = self.bucket(now, &customer.name, limit, share);
         bucket.ask(share, tokens);
         let reserve = capacity * SMALL_RESERVE;
-        let small = tokens as f64 <= reserve;
+        let small = tokens as f64 <= SMALL_PART * capacity;
         let kept = if small { 0.0 } else { reserve };
         // A request larger than the bucket passes a full one.
         let need = (tokens as f64 + kept - early).min(capacity);
-        let chance = bucket.chance(share, capacity);
+        let chance = bucket.chance(share);
         if bucket.level() >= need && (small || draw <= chance) {
             bucket.admit(tokens);
             return Ok(());
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -306,10 +306,7 @@
             match service.engine {
                 Some(size) => {
                     let mut pools = lock(&self.pools);
-                    let fresh = || {
-                        let settings = &self.settings;
-                        Pool::new(size, settings.host.clone(), settings.zone.clone(), settings.pool)
-                    };
+                    let fresh = || Pool::new(size, self.settings.zone.clone(), self.settings.pool);
                     let pool = pools.pools.entry(name.clone()).or_insert_with(fresh);
                     pool.replace(&list, size, hosts);
                     pool.set_homes(homes(&lock(&self.layout), &list));
--- a/crates/rosemarypitch-forward/src/router/placing.rs
+++ b/crates/rosemarypitch-forward/src/router/placing.rs
@@ -85,8 +85,13 @@
         }
     }
 
-    /// Waits until this host uses other engines than before.
-    pub async fn uses_changed(&self) {
+    /// Has the other hosts told soon of what has changed here.
+    pub fn tell_soon(&self) {
+        self.used.notify_one();
+    }
+
+    /// Waits until the other hosts have to be told of a change.
+    pub async fn changed(&self) {
         self.used.notified().await;
     }
 
--- a/crates/rosemarypitch-forward/src/tuning.rs
+++ b/crates/rosemarypitch-forward/src/tuning.rs
@@ -20,9 +20,6 @@
     pub home_cost: f64,
     /// Busy part that is accepted to stay among the engines of a host's row.
     pub foreign_cost: f64,
-    /// Busy part within which engines count as alike, so that hosts that decide at the same
-    /// moment do not all choose the same one.
-    pub spread_cost: f64,
     /// Weight of an engine's failure rate against its busy part.
     pub failure_cost: f64,
     /// Multiple of a request's time in which those ahead of it must be placed; more lets
@@ -40,7 +37,6 @@
             crossing_cost: 0.08,
             home_cost: 0.7,
             foreign_cost: 0.3,
-            spread_cost: 0.0,
             failure_cost: 2.0,
             forecast_slack: 1.5,
         }
@@ -68,7 +64,6 @@
             ("crossing_cost", self.crossing_cost, 0.0, 1.0),
             ("home_cost", self.home_cost, 0.0, 10.0),
             ("foreign_cost", self.foreign_cost, 0.0, 10.0),
-            ("spread_cost", self.spread_cost, 0.0, 10.0),
             ("failure_cost", self.failure_cost, 0.0, 100.0),
             ("forecast_slack", self.forecast_slack, 0.1, 100.0),
         ];
--- a/crates/rosemarypitch-forward/tests/pool.rs
+++ b/crates/rosemarypitch-forward/tests/pool.rs
@@ -28,8 +28,7 @@
 }
 
 fn pool(engines: &[Arc<Upstream>]) -> Pool {
-    let mut pool =
-        Pool::new(SIZE, Arc::from("howrah-1"), Arc::from("howrah"), PoolTuning::default());
+    let mut pool = Pool::new(SIZE, Arc::from("howrah"), PoolTuning::default());
     pool.replace(engines, SIZE, 1);
     pool
 }
