Name the parts of what hosts tell: ledger, copy, entry

No change of behaviour: a host's entry lies with the one that announces it, what was told of customers with the ledger; a type named Copy stood beside derive(Copy).

--- a/crates/rosemarypitch-forward/src/announce.rs
+++ b/crates/rosemarypitch-forward/src/announce.rs
@@ -1,12 +1,13 @@
 //! This host's entry in the store, and the secret that the hosts share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::edge::DirectoryError;
-use crate::neighbours::HostEntry;
 use crate::router::Router;
 
 /// Time for which a host's entry outlives the host's last word to the store. Longer than
@@ -19,6 +20,15 @@
 /// Length of the secret that a host proposes, in random 64-bit words.
 const SECRET_WORDS: usize = 4;
 
+/// What a host's entry says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostEntry {
+    /// Where it takes connections of other hosts.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub zone: Arc<str>,
+}
+
 /// Keeps this host's entry in the store until the process ends.
 pub async fn announce(router: Arc<Router>) {
     let mut lease = None;
--- a/crates/rosemarypitch-forward/src/bucket.rs
+++ b/crates/rosemarypitch-forward/src/bucket.rs
@@ -5,7 +5,7 @@
 use rosemarypitch_peer::Spent;
 use tokio::time::Instant;
 
-use crate::neighbours::Told;
+use crate::ledger::Told;
 use crate::quota::Share;
 use crate::site::RateLimit;
 
@@ -32,8 +32,8 @@
     level: f64,
     /// The part of the limit that it stands for.
     part: f64,
-    /// Part of a full bucket.
-    fullness: f64,
+    /// How full it was when it was last filled.
+    last_fullness: f64,
     /// Tokens a second that callers ask for at all hosts.
     demand: f64,
     /// The same, falling slowly.
@@ -52,7 +52,7 @@
             limit,
             level,
             part: share.part(),
-            fullness: 0.0,
+            last_fullness: 0.0,
             demand: 0.0,
             peak: 0.0,
             filled: now,
@@ -68,7 +68,7 @@
         // A part of a bucket is as full as the whole: hosts that part share what is left.
         self.level = (gained * share.part() / self.part).min(capacity);
         self.part = share.part();
-        self.fullness = self.level / capacity.max(1.0);
+        self.last_fullness = self.level / capacity.max(1.0);
         self.demand *= (-time / demand_time(share).as_secs_f64()).exp();
         self.peak *= (-time / FALL_TIME.as_secs_f64()).exp();
         self.filled = now;
@@ -145,7 +145,7 @@
 
     /// What happened here, and how full the bucket is, if that is worth telling.
     pub fn spent(&self, settled: bool) -> Spent {
-        Spent { fullness: settled.then_some(self.fullness as f32), ..self.spent }
+        Spent { fullness: settled.then_some(self.last_fullness as f32), ..self.spent }
     }
 }
 
--- a/crates/rosemarypitch-forward/src/far.rs
+++ b/crates/rosemarypitch-forward/src/far.rs
@@ -8,8 +8,7 @@
 use tokio::time::Instant;
 
 use crate::layout::{Layout, RowId};
-use crate::ledger::Copy;
-use crate::neighbours::{self, News};
+use crate::ledger::{self, LedgerCopy, News};
 
 /// Time between exchanges with partners; a part of the second in which a burst shows.
 pub const FAR_INTERVAL: Duration = Duration::from_millis(500);
@@ -45,7 +44,7 @@
     report: RowReport,
     /// Use of each engine, as told last.
     uses: Vec<(Arc<str>, UseSum)>,
-    copy: Copy,
+    copy: LedgerCopy,
     at: Instant,
 }
 
@@ -102,7 +101,7 @@
                 from: from.clone(),
                 report: RowReport::default(),
                 uses: Vec::new(),
-                copy: Copy::default(),
+                copy: LedgerCopy::default(),
                 at: now,
             },
         };
@@ -111,8 +110,7 @@
             heard.copy.acked = report.seen.sequence;
         }
         let before = heard.copy.take(report.own, &report.spent);
-        let changes =
-            before.map_or(News::new(), |before| neighbours::changes(&before, &report.spent));
+        let changes = before.map_or(News::new(), |before| ledger::changes(&before, &report.spent));
         if let Some(uses) = &report.uses {
             heard.uses.clone_from(uses);
         }
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -13,8 +13,10 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::announce::HostEntry;
 use crate::far::FAR_INTERVAL;
-use crate::neighbours::{self, HostEntry, Neighbours, News, Own};
+use crate::ledger::News;
+use crate::neighbours::{self, Neighbours, Own};
 use crate::quota::Share;
 use crate::relayed::{Have, Known};
 use crate::router::Router;
--- a/crates/rosemarypitch-forward/src/ledger.rs
+++ b/crates/rosemarypitch-forward/src/ledger.rs
@@ -56,7 +56,7 @@
 
 /// What a host knows of another's ledger.
 #[derive(Debug, Default)]
-pub struct Copy {
+pub struct LedgerCopy {
     /// The last report that came, and of which run of the host.
     pub seen: Seen,
     /// The last of this host's reports that has come there.
@@ -65,7 +65,7 @@
     pub spent: HashMap<Arc<str>, Spent>,
 }
 
-impl Copy {
+impl LedgerCopy {
     /// Takes a report; gives the entries before it, or none if it is not the next one of the
     /// same run. An older report than the last one is passed over.
     pub fn take(&mut self, seen: Seen, spent: &[(Arc<str>, Spent)]) -> Option<Vec<Spent>> {
@@ -84,3 +84,25 @@
         same.then_some(before)
     }
 }
+
+/// What a customer asked for and got at other hosts since those last told, in tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Asked for.
+    pub asked: u64,
+    /// Admitted; negative if more was given back.
+    pub admitted: i64,
+}
+
+/// What was told of customers.
+pub type News = Vec<(Arc<str>, Told)>;
+
+/// What happened between two reports of one run of a host.
+pub fn changes(before: &[Spent], spent: &[(Arc<str>, Spent)]) -> News {
+    let changes = before.iter().zip(spent).map(|(earlier, (customer, spent))| {
+        let asked = spent.asked.wrapping_sub(earlier.asked);
+        let admitted = spent.admitted.wrapping_sub(earlier.admitted) as i64;
+        (customer.clone(), Told { asked, admitted })
+    });
+    changes.filter(|(_, told)| told.asked != 0 || told.admitted != 0).collect()
+}
--- a/crates/rosemarypitch-forward/src/neighbours.rs
+++ b/crates/rosemarypitch-forward/src/neighbours.rs
@@ -15,12 +15,12 @@
 use std::time::Duration;
 
 use rosemarypitch_peer::{HostReport, RowReport, Seen, Spent, StreamUse, UseSum};
-use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::announce::HostEntry;
 use crate::far::{FAR_INTERVAL, Far};
 use crate::layout::{self, Layout};
-use crate::ledger::{Copy, Ledger};
+use crate::ledger::{self, Ledger, LedgerCopy, News};
 use crate::pool::Uses;
 use crate::quota::Share;
 
@@ -66,34 +66,13 @@
     entry: Option<HostEntry>,
     view: u64,
     uses: Vec<(Arc<str>, Vec<StreamUse>)>,
-    copy: Copy,
+    copy: LedgerCopy,
     /// When its last report came.
     reported: Option<Instant>,
     /// Whether it had heard this host when it last reported.
     hears: bool,
 }
 
-/// What a host's entry says.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HostEntry {
-    /// Where it takes connections of other hosts.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub zone: Arc<str>,
-}
-
-/// What a customer asked for and got at other hosts since those last told, in tokens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Told {
-    /// Asked for.
-    pub asked: u64,
-    /// Admitted; negative if more was given back.
-    pub admitted: i64,
-}
-
-/// What was told of customers.
-pub type News = Vec<(Arc<str>, Told)>;
-
 /// What a host tells of itself.
 #[derive(Clone, Debug, Default)]
 pub struct Own {
@@ -232,7 +211,7 @@
         }
         // What another run of the host admitted is told by that run.
         let before = known.copy.take(report.own, &report.spent).filter(|_| heard);
-        let changes = before.map_or(News::new(), |before| changes(&before, &report.spent));
+        let changes = before.map_or(News::new(), |before| ledger::changes(&before, &report.spent));
         self.divide();
         if self.layout.is_near(from) {
             for (customer, told) in &changes {
@@ -392,13 +371,3 @@
         self.hears && self.is_reporting(now, interval)
     }
 }
-
-/// What happened between two reports of one run of a host.
-pub(crate) fn changes(before: &[Spent], spent: &[(Arc<str>, Spent)]) -> News {
-    let changes = before.iter().zip(spent).map(|(earlier, (customer, spent))| {
-        let asked = spent.asked.wrapping_sub(earlier.asked);
-        let admitted = spent.admitted.wrapping_sub(earlier.admitted) as i64;
-        (customer.clone(), Told { asked, admitted })
-    });
-    changes.filter(|(_, told)| told.asked != 0 || told.admitted != 0).collect()
-}
--- a/crates/rosemarypitch-forward/tests/fleet.rs
+++ b/crates/rosemarypitch-forward/tests/fleet.rs
@@ -8,7 +8,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use rosemarypitch_forward::neighbours::{HostEntry, Neighbours, News, Own};
+use rosemarypitch_forward::announce::HostEntry;
+use rosemarypitch_forward::ledger::News;
+use rosemarypitch_forward::neighbours::{Neighbours, Own};
 use rosemarypitch_forward::quota::{Quota, QuotaRules};
 use rosemarypitch_forward::site::{Customer, RateLimit};
 use rstest::rstest;
--- a/crates/rosemarypitch-forward/tests/neighbours.rs
+++ b/crates/rosemarypitch-forward/tests/neighbours.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemarypitch_forward::announce::HostEntry;
 use rosemarypitch_forward::layout::{self, Layout};
-use rosemarypitch_forward::neighbours::{HostEntry, Neighbours, News, Own, Told};
+use rosemarypitch_forward::ledger::{News, Told};
+use rosemarypitch_forward::neighbours::{Neighbours, Own};
 use rosemarypitch_peer::{HostReport, RowReport, Seen, Spent, StreamUse};
 use rstest::rstest;
 use tokio::time::Instant;
