Limits: outsiders divide parts, in place of equal views

Cause: a host used the parts of the limits of hosts with exactly the same view of the whole fleet. Buckets of a small share were also debited with all that others admitted (level -551471 of 70366), and that debt grew with the share.

Change: a host reports which hosts of its row and which rows it reaches. A part is divided by one plus the outsiders that its host reaches, each of which counts after 1.5 s; the admissions of a host with a greater share are debited in proportion. Rows per data centre are powers of two of at most 32 hosts. Parts of a row count for 750 ms after its report (1.5 s before); fleets of several rows keep less of the allowance in their buckets. Hosts become ready once their limits have settled, and until then ask callers to retry after at most 0.4 s.

--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -114,7 +114,7 @@
         self.router.mark_current(now);
         self.router.set_revision(self.revision);
         self.full_read = false;
-        self.update_readiness();
+        self.router.update_readiness(Instant::now());
         self.propose_secret().await;
         true
     }
@@ -167,7 +167,7 @@
                     let received = !updates.is_empty();
                     self.apply_batch(now, updates);
                     self.router.set_revision(self.revision);
-                    self.update_readiness();
+                    self.router.update_readiness(Instant::now());
                     if received {
                         tokio::time::sleep(BATCH_DELAY).await;
                     }
@@ -225,12 +225,6 @@
         }
     }
 
-    fn update_readiness(&self) {
-        if self.router.config().is_some() && self.router.set_ready() {
-            log::info!("control: ready to accept callers");
-        }
-    }
-
     /// Records that the store answers; true if it did not before.
     fn mark_reachable(&mut self) -> bool {
         self.backoff = MIN_BACKOFF;
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -306,6 +306,7 @@
         }
         self.update_pools(now);
         self.compare_buckets(now);
+        self.router.update_readiness(now);
     }
 
     /// Compares the fullness of this host's buckets with that in the rest of the row.
@@ -325,12 +326,13 @@
 
     fn update_share(&self, now: Instant) {
         let share = self.lock().share(now);
-        if self.router.set_share(share) {
-            let Share { reachable, hosts, lag } = share;
+        let old = self.router.set_share(share);
+        if step(old) != step(share) || old.hosts != share.hosts {
+            let Share { parts, hosts, lag } = share;
             let lag = lag.as_millis();
-            log::info!("peers: share changed heard={reachable} hosts={hosts} lag_ms={lag}");
+            log::info!("peers: share changed parts={parts:.1} hosts={hosts} lag_ms={lag}");
             self.router.metrics.set_gauge("hosts", hosts as u64);
-            self.router.metrics.set_gauge("hosts_heard", reachable as u64);
+            self.router.metrics.set_gauge("hosts_heard", parts as u64);
         }
     }
 
@@ -373,6 +375,11 @@
     mutex.lock().unwrap_or_else(|error| error.into_inner())
 }
 
+/// Share in steps of a twentieth; smaller changes are not logged.
+fn step(share: Share) -> u32 {
+    (share.fraction() * 20.0) as u32
+}
+
 /// Random identifier of this run of the host; identifiers of different runs have no order.
 fn incarnation() -> u64 {
     rand::random()
--- a/crates/rosemarypitch-forward/src/layout.rs
+++ b/crates/rosemarypitch-forward/src/layout.rs
@@ -11,6 +11,7 @@
 //! to it, so that the hosts that compete for an engine exchange reports directly.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fmt;
 use std::sync::Arc;
 
 use rosemarypitch_limit::rank;
@@ -20,9 +21,8 @@
 /// Maximum number of hosts that form a single row; a full mesh of this size still carries the
 /// load.
 const MAX_MESH_HOSTS: usize = 48;
-/// Mean size of a row if there are several; about the square root of the largest fleet
-/// expected.
-const TARGET_ROW_SIZE: usize = 20;
+/// Largest mean size of the rows of a data centre if there are several.
+const MAX_ROW_SIZE: usize = 32;
 
 /// Identifies a row.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -35,6 +35,20 @@
     pub rows: usize,
 }
 
+impl RowId {
+    /// Digest of the row's identity.
+    pub fn digest(&self) -> u64 {
+        rank("row id", &self.to_string())
+    }
+}
+
+impl fmt::Display for RowId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let zone = self.zone.as_deref().unwrap_or("all");
+        write!(f, "{zone}/{}of{}", self.number, self.rows)
+    }
+}
+
 /// The rows, and one host's position in them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Layout {
@@ -43,6 +57,8 @@
     position: usize,
     rows: BTreeMap<RowId, Vec<Arc<str>>>,
     row_of: HashMap<Arc<str>, RowId>,
+    /// Digest of the numbers of rows in each data centre.
+    division: u64,
 }
 
 impl Layout {
@@ -55,8 +71,11 @@
         }
         let mut rows: BTreeMap<RowId, Vec<Arc<str>>> = BTreeMap::new();
         let mut row_of = HashMap::new();
+        let mut division = 0;
         for (zone, members) in zones {
-            let count = if zone.is_some() { members.len().div_ceil(TARGET_ROW_SIZE) } else { 1 };
+            let count = if zone.is_some() { row_count(members.len()) } else { 1 };
+            let zone_name = zone.as_deref().unwrap_or_default();
+            division ^= rank("division", &format!("{zone_name}/{count}"));
             for host in members {
                 // Hashing keeps the other hosts in place when a host joins or leaves.
                 let number = rank("row", &host) as usize % count;
@@ -69,7 +88,7 @@
         let row = row_of.get(own).cloned().unwrap_or(alone);
         let position =
             rows.get(&row).and_then(|hosts| hosts.iter().position(|host| **host == *own));
-        Self { own: row, position: position.unwrap_or(0), rows, row_of }
+        Self { own: row, position: position.unwrap_or(0), rows, row_of, division }
     }
 
     /// Whether a host is in this host's row.
@@ -77,6 +96,22 @@
         self.row_of.get(host) == Some(&self.own)
     }
 
+    /// Digest of the division into rows. Hosts with the same one agree on the row of every host
+    /// that both know.
+    pub fn division(&self) -> u64 {
+        self.division
+    }
+
+    /// This host's row.
+    pub fn own_row(&self) -> &RowId {
+        &self.own
+    }
+
+    /// Number of hosts in a row.
+    pub fn size_of(&self, row: &RowId) -> usize {
+        self.rows.get(row).map_or(0, Vec::len)
+    }
+
     /// Number of hosts in this host's row, itself included.
     pub fn row_size(&self) -> usize {
         self.rows.get(&self.own).map_or(1, Vec::len)
@@ -140,7 +175,15 @@
     }
 }
 
-/// Digest of a host's name; the digest of a set of hosts is the exclusive or of theirs.
+/// Number of rows of a data centre with so many hosts.
+///
+/// A change of this number moves half of the hosts to other rows. Powers of two make that
+/// rare, so that a few hosts that join or leave seldom change it.
+fn row_count(hosts: usize) -> usize {
+    hosts.div_ceil(MAX_ROW_SIZE).next_power_of_two()
+}
+
+/// Digest of a host's name.
 pub fn digest(host: &str) -> u64 {
     rank("view", host)
 }
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -9,7 +9,8 @@
 //! upstreams, and [`health`] rates them by the outcomes of their requests.
 //!
 //! [`peer_table`], [`remote_rows`], [`layout`] and [`counters`] hold the state that hosts
-//! exchange, and [`gossip`] runs the exchanges. [`control`] follows the store. [`deployment`]
+//! exchange, [`outsiders`] decides which parts of the limits a host may use, and [`gossip`]
+//! runs the exchanges. [`control`] follows the store. [`deployment`]
 //! defines the interface to the deployment.
 
 pub mod announce;
@@ -29,6 +30,7 @@
 pub mod layout;
 pub mod memory;
 pub mod metrics;
+pub mod outsiders;
 pub mod peer_table;
 pub mod plain;
 pub mod pool;
--- a/crates/rosemarypitch-forward/src/peer_table.rs
+++ b/crates/rosemarypitch-forward/src/peer_table.rs
@@ -5,23 +5,24 @@
 //! of both ends; of two hosts of a row, the one with the earlier name initiates it. A host is
 //! reachable only while each end receives the reports of the other.
 //!
-//! Each host has an equal part of each limit, and reachable hosts pool their parts. That is
-//! safe only if all of them receive what all of them admit. If two of three hosts are partitioned from each other, both would
-//! otherwise use the part of the third. Each host therefore reports its view, a digest of
-//! the hosts that it can reach, and uses only the parts of hosts with the same view. Views
-//! differ briefly whenever a host joins or leaves, so a difference counts only once it lasts.
+//! Each host has an equal part of each limit, and uses those of the hosts that it reaches. A
+//! report says which hosts of the row and which other rows its sender reaches, from which
+//! [`Outsiders`] derives how much of each part this host may use.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemarypitch_peer::{EngineUse, HostReport, ReportId, RowReport, StreamUse, TokenCounts};
+use rosemarypitch_peer::{
+    EngineUse, HostReport, Reach, ReportId, RowReport, StreamUse, TokenCounts,
+};
 use tokio::time::Instant;
 
 use crate::announce::HostEntry;
 use crate::counters::{self, CounterReplica, CounterTable, TokenDeltas};
-use crate::layout::{self, Layout};
+use crate::layout::{self, Layout, RowId};
+use crate::outsiders::{Outsiders, Parts};
 use crate::pool::StreamsByEngine;
 use crate::quota::Share;
 use crate::remote_rows::{ROW_INTERVAL, RemoteRows};
@@ -36,12 +37,11 @@
 const LOST_AFTER: u32 = 2;
 /// Time allowed beyond that for a slow exchange, such as after a retransmitted packet.
 const LOSS_SLACK: Duration = Duration::from_millis(300);
-/// Shortest time for which differing views are tolerated: the other hosts detect an
-/// unresponsive host within half a second of each other, and report the new view in their
-/// next exchange.
+/// Shortest time for which an outsider is tolerated: the other hosts detect an unresponsive
+/// host within half a second of each other, and report that in their next exchange.
 const MIN_AGREE_TIME: Duration = Duration::from_millis(1_500);
-/// Exchanges until views agree again: one to detect the loss of a host, and two to spread
-/// the new view, within the row and between rows.
+/// Exchanges until all hosts have detected the loss of a host: one to detect it, and two to
+/// report it, within the row and between rows.
 const AGREE_EXCHANGES: u32 = 3;
 
 /// The other hosts and their last reports.
@@ -54,8 +54,14 @@
     /// Whether hosts have been added or removed since the layout was computed.
     layout_stale: bool,
     remote: RemoteRows,
-    /// When all reachable hosts last had the same view.
-    last_agreed: Option<Instant>,
+    outsiders: Outsiders,
+    /// Fraction of each limit that this host uses.
+    fraction: f64,
+    /// Whether outsiders also use the parts that this host uses.
+    has_outsiders: bool,
+    /// Hosts of the row that were reached at the last report, and the sequence number of the
+    /// report in which that last changed.
+    last_reached: (Vec<u64>, u64),
     /// Tokens requested and admitted at the row's other hosts since this host started, by
     /// customer.
     row_spent: HashMap<Arc<str>, TokenCounts>,
@@ -70,7 +76,9 @@
 struct PeerState {
     /// Its address and data centre; none if this host has not seen its entry in the store.
     entry: Option<HostEntry>,
-    view: u64,
+    reach: Reach,
+    /// Digests of the hosts of its row that it reaches.
+    reached: Vec<u64>,
     uses: Vec<(Arc<str>, Vec<StreamUse>)>,
     replica: CounterReplica,
     /// When its last report arrived.
@@ -101,7 +109,10 @@
             layout,
             layout_stale: false,
             remote: RemoteRows::default(),
-            last_agreed: None,
+            outsiders: Outsiders::default(),
+            fraction: 1.0,
+            has_outsiders: false,
+            last_reached: (Vec::new(), 0),
             row_spent: HashMap::new(),
             incarnation,
             counters: CounterTable::default(),
@@ -221,8 +232,12 @@
         let was_reporting = peer.is_reporting(now, interval);
         peer.reported = Some(now);
         peer.mutual = mutual;
-        peer.view = report.view;
         peer.uses = report.uses;
+        let sender_fraction = f64::from(report.reach.fraction);
+        peer.reach = report.reach;
+        if let Some(reached) = report.reached {
+            peer.reached = reached;
+        }
         if report.acked.incarnation == self.incarnation {
             peer.replica.acked = report.acked.sequence;
         }
@@ -238,7 +253,7 @@
                 sum.admitted = sum.admitted.wrapping_add_signed(delta.admitted);
             }
         }
-        deltas
+        self.scaled(deltas, sender_fraction)
     }
 
     /// Applies a partner's report of its row; returns the changes of the row's counters since
@@ -249,12 +264,38 @@
         from: &Arc<str>,
         report: RowReport,
     ) -> TokenDeltas {
-        self.remote.apply_report(now, &self.layout, from, report, self.incarnation)
+        let sender_fraction = f64::from(report.reach.fraction);
+        let deltas = self.remote.apply_report(now, &self.layout, from, report, self.incarnation);
+        self.scaled(deltas, sender_fraction)
+    }
+
+    /// Fraction of another host's admissions that counts against this host's buckets.
+    ///
+    /// If that host uses a greater fraction of the limits, only so much of its admissions comes
+    /// from the parts that this host uses. With outsiders all of them count, since outsiders
+    /// may use what that host leaves of these parts.
+    pub fn debit_factor(&self, sender_fraction: f64) -> f64 {
+        if self.has_outsiders { 1.0 } else { (self.fraction / sender_fraction).min(1.0) }
+    }
+
+    fn scaled(&self, mut deltas: TokenDeltas, sender_fraction: f64) -> TokenDeltas {
+        let factor = self.debit_factor(sender_fraction);
+        if factor < 1.0 {
+            for (_, delta) in &mut deltas {
+                delta.asked = (delta.asked as f64 * factor).round() as u64;
+                delta.admitted = (delta.admitted as f64 * factor).round() as i64;
+            }
+        }
+        deltas
     }
 
     /// The report of this host to another of its row.
     pub fn report(&mut self, now: Instant, to: &str, local: LocalUsage) -> HostReport {
         let sequence = self.counters.update(local.spent);
+        let reached = self.reached(now);
+        if self.last_reached.0 != reached {
+            self.last_reached = (reached, sequence);
+        }
         let (acked, seen) = self
             .hosts
             .get(to)
@@ -262,7 +303,8 @@
         HostReport {
             id: ReportId { incarnation: self.incarnation, sequence },
             acked: seen,
-            view: self.view(now),
+            reach: self.reach(now),
+            reached: (self.last_reached.1 > acked).then(|| self.last_reached.0.clone()),
             spent: self.counters.since(acked),
             uses: local.uses,
         }
@@ -273,12 +315,9 @@
         let usage_due = self.remote.is_usage_due(now, to);
         let peers: Vec<(&Arc<str>, &PeerState)> =
             self.reachable_peers(now, self.interval()).collect();
-        let members = peers
-            .iter()
-            .fold(layout::digest(&self.own), |sum, (host, _)| sum ^ layout::digest(host));
-        let mut views: HashMap<u64, u32> = HashMap::from([(self.view(now), 1)]);
+        let mut reach = self.reach(now);
         for (_, peer) in &peers {
-            *views.entry(peer.view).or_default() += 1;
+            reach.lost_rows.retain(|row| peer.reach.lost_rows.contains(row));
         }
         let mut uses: HashMap<Arc<str>, EngineUse> = HashMap::new();
         for (engine, streams) in peers.iter().flat_map(|(_, peer)| &peer.uses).chain(&local.uses) {
@@ -286,6 +325,7 @@
             streams.iter().for_each(|stream| sum.add(stream));
         }
         let hosts = peers.len() as u32 + 1;
+        let outsiders = self.lasting_outsiders(now, &peers);
         let mut spent = self.row_spent.clone();
         for (customer, tokens) in local.spent {
             let sum = spent.entry(customer).or_default();
@@ -297,14 +337,24 @@
         RowReport {
             id: ReportId { incarnation: self.incarnation, sequence },
             acked: seen,
-            members,
             hosts,
-            views: views.into_iter().collect(),
+            outsiders,
+            reach,
             spent: self.row_counters.since(acked),
             uses: usage_due.then(|| uses.into_iter().collect()),
         }
     }
 
+    /// Number of hosts that `peers` reach and this host has not reached for some time.
+    fn lasting_outsiders(&self, now: Instant, peers: &[(&Arc<str>, &PeerState)]) -> u32 {
+        let reached = self.reached(now);
+        let foreign: BTreeSet<u64> =
+            peers.iter().flat_map(|(_, peer)| &peer.reached).copied().collect();
+        let foreign = foreign.into_iter().filter(|id| reached.binary_search(id).is_err());
+        let settle_time = self.settle_time();
+        foreign.filter(|id| self.outsiders.lasts(now, *id, settle_time)).count() as u32
+    }
+
     /// Reachable hosts of the row.
     fn reachable_peers(
         &self,
@@ -316,39 +366,93 @@
         peers.filter(move |(_, peer)| peer.is_reachable(now, interval))
     }
 
-    /// Digest of the hosts that this one can reach, itself included.
-    pub fn view(&self, now: Instant) -> u64 {
-        let peers =
-            self.reachable_peers(now, self.interval()).map(|(host, _)| layout::digest(host));
-        let remote = self.remote.reports(now).map(|report| report.members);
-        peers.chain(remote).fold(layout::digest(&self.own), |sum, part| sum ^ part)
+    /// Other hosts of the row that this one reaches.
+    pub fn row_reach(&self, now: Instant) -> impl Iterator<Item = &Arc<str>> {
+        self.reachable_peers(now, self.interval()).map(|(host, _)| host)
+    }
+
+    /// Digests of the hosts of the row that this one reaches, itself included, sorted.
+    fn reached(&self, now: Instant) -> Vec<u64> {
+        let mut reached: Vec<u64> = self.row_reach(now).map(|host| layout::digest(host)).collect();
+        reached.push(layout::digest(&self.own));
+        reached.sort_unstable();
+        reached
+    }
+
+    /// Rows that this host does not reach, by digest, with their numbers of hosts.
+    fn lost_rows(&self, now: Instant) -> Vec<(u64, usize)> {
+        let reached: Vec<&RowId> = self.remote.reports(now).map(|(row, _)| row).collect();
+        let lost = self.layout.other_rows().filter(|row| !reached.contains(row));
+        lost.map(|row| (row.digest(), self.layout.size_of(row))).collect()
+    }
+
+    fn reach(&self, now: Instant) -> Reach {
+        Reach {
+            division: self.layout.division(),
+            lost_rows: self.lost_rows(now).into_iter().map(|(row, _)| row).collect(),
+            fraction: self.fraction as f32,
+        }
     }
 
     /// Share of each limit that this host may use.
     pub fn share(&mut self, now: Instant) -> Share {
         self.update_layout();
-        let view = self.view(now);
-        let interval = self.interval();
-        let views: Vec<u64> =
-            self.reachable_peers(now, interval).map(|(_, peer)| peer.view).collect();
-        let mut reachable = views.len() + 1;
-        let mut agreeing = views.iter().filter(|other| **other == view).count() + 1;
-        for report in self.remote.reports(now) {
-            reachable += report.hosts as usize;
-            let same = report.views.iter().filter(|(other, _)| *other == view);
-            agreeing += same.map(|(_, count)| *count as usize).sum::<usize>();
+        let (settle_time, lag) = (self.settle_time(), self.lag());
+        let parts = self.parts(now);
+        let reached: usize = parts.iter().map(|parts| parts.hosts).sum();
+        let parts = self.outsiders.usable(now, &parts, settle_time);
+        let share = Share { parts, hosts: self.hosts.len() + 1, lag };
+        self.fraction = share.fraction();
+        self.has_outsiders = parts < reached as f64;
+        share
+    }
+
+    /// Delay until this host receives what other hosts have admitted.
+    fn lag(&self) -> Duration {
+        let has_remote = self.layout.other_rows().next().is_some();
+        if has_remote { self.interval() + ROW_INTERVAL } else { self.interval() }
+    }
+
+    fn settle_time(&self) -> Duration {
+        (self.lag() * AGREE_EXCHANGES).max(MIN_AGREE_TIME)
+    }
+
+    /// Parts of all hosts that this one reaches, and the outsiders that these reach.
+    fn parts(&self, now: Instant) -> Vec<Parts> {
+        let (reached, lost_rows) = (self.reached(now), self.lost_rows(now));
+        let lost_to_me = |lost: &[u64]| -> Vec<(u64, usize)> {
+            lost_rows.iter().filter(|(row, _)| !lost.contains(row)).copied().collect()
+        };
+        let remote: Vec<&RowReport> = self.remote.reports(now).map(|(_, report)| report).collect();
+        let counted = remote.iter().map(|report| report.outsiders as usize).sum();
+        let mut all = vec![Parts { hosts: 1, ..Parts::default() }];
+        let mut row_outsiders = BTreeSet::new();
+        for (host, peer) in self.reachable_peers(now, self.interval()) {
+            let mut outsiders = lost_to_me(&peer.reach.lost_rows);
+            let foreign = peer.reached.iter().filter(|id| reached.binary_search(id).is_err());
+            row_outsiders.extend(foreign.clone().copied());
+            outsiders.extend(foreign.map(|id| (*id, 1)));
+            outsiders.extend(self.other_division(&peer.reach, layout::digest(host)));
+            all.push(Parts { hosts: 1, outsiders, counted });
         }
-        if agreeing >= reachable {
-            self.last_agreed = Some(now);
+        let own_row = self.layout.own_row().digest();
+        for (row, report) in self.remote.reports(now) {
+            // That row would not receive what this one admits.
+            if report.reach.lost_rows.contains(&own_row) {
+                continue;
+            }
+            let mut outsiders = lost_to_me(&report.reach.lost_rows);
+            outsiders.extend(row_outsiders.iter().map(|id| (*id, 1)));
+            outsiders.extend(self.other_division(&report.reach, row.digest()));
+            all.push(Parts { hosts: report.hosts as usize, outsiders, counted });
         }
-        let has_remote = self.layout.other_rows().next().is_some();
-        let lag = if has_remote { interval + ROW_INTERVAL } else { interval };
-        let settle_time = (lag * AGREE_EXCHANGES).max(MIN_AGREE_TIME);
-        // A host that has just started gets the same time, since it has no reports yet.
-        let last_agreed = *self.last_agreed.get_or_insert(now);
-        let agreed = now.saturating_duration_since(last_agreed) <= settle_time;
-        let reachable = if agreed { reachable } else { agreeing };
-        Share { reachable, hosts: self.hosts.len() + 1, lag }
+        all
+    }
+
+    /// With another division into rows, the same host may be counted in two of them. Such
+    /// hosts are as good as unreachable if that lasts.
+    fn other_division(&self, reach: &Reach, id: u64) -> Option<(u64, usize)> {
+        (reach.division != self.layout.division()).then_some((!id, self.hosts.len()))
     }
 
     /// Fullness of the buckets at the reachable hosts of the row, by customer.
--- a/crates/rosemarypitch-forward/src/quota.rs
+++ b/crates/rosemarypitch-forward/src/quota.rs
@@ -27,15 +27,18 @@
 
 /// Longest retry delay for a customer that has exceeded its limit.
 const MAX_RETRY: Duration = Duration::from_secs(8);
+/// Longest retry delay at a host that has not settled; hosts usually settle within this time,
+/// and callers of short requests wait no longer.
+const UNSETTLED_RETRY: Duration = Duration::from_millis(400);
 /// Time after which a host that has received no fullness reports uses its own buckets as
 /// they are: several exchanges, and the time in which hosts discover each other.
-const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+pub const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Share of all limits that a host owns together with the hosts that it reaches.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Share {
-    /// Hosts that reach each other, including this one.
-    pub reachable: usize,
+    /// Parts of hosts that it may use; one for each host if all reach each other.
+    pub parts: f64,
     /// All hosts that may admit requests.
     pub hosts: usize,
     /// Delay until this host receives what other hosts have admitted.
@@ -45,7 +48,8 @@
 impl Share {
     /// Share as a fraction of each limit, from 0 to 1.
     pub fn fraction(self) -> f64 {
-        self.reachable.min(self.hosts) as f64 / self.hosts.max(1) as f64
+        let hosts = self.hosts.max(1) as f64;
+        self.parts.min(hosts) / hosts
     }
 }
 
@@ -64,7 +68,9 @@
     /// Capacity of a bucket, in tokens.
     pub fn capacity(self, limit: RateLimit, share: Share) -> f64 {
         let tolerated = self.overrun * (limit.burst + limit.rate * self.window.as_secs_f64());
-        (limit.burst + tolerated + CAPACITY_ALLOWANCE * self.allowance) * share.fraction()
+        let allowance =
+            if share.lag > LONG_LAG { FLEET_CAPACITY_ALLOWANCE } else { CAPACITY_ALLOWANCE };
+        (limit.burst + tolerated + allowance * self.allowance) * share.fraction()
     }
 }
 
@@ -72,6 +78,11 @@
 /// initial level of a bucket and its refill, so the capacity may include the tolerated
 /// excess.
 const CAPACITY_ALLOWANCE: f64 = 0.6;
+/// The same where hosts receive each other's reports late, as in a fleet of several rows. What
+/// they admit before that takes more of the allowance.
+const FLEET_CAPACITY_ALLOWANCE: f64 = 0.25;
+/// Lag above which [`FLEET_CAPACITY_ALLOWANCE`] applies; that of a single row is shorter.
+const LONG_LAG: Duration = Duration::from_millis(800);
 /// Fraction of the allowance by which all hosts together may overdraw their buckets. The rest
 /// of the allowance covers what hosts admit before they receive each other's reports.
 const OVERDRAFT_ALLOWANCE: f64 = 0.2;
@@ -138,18 +149,21 @@
         let rate = (limit.rate * share.fraction()).max(1.0);
         log::info!(
             "limits: limit exceeded customer={} tokens={tokens} level={:.0} capacity={capacity:.0} \
-             chance={probability:.2} demand={:.0} rate={:.0} heard={} hosts={}",
+             chance={probability:.2} demand={:.0} rate={:.0} parts={:.1} hosts={}",
             customer.name,
             bucket.level(),
             bucket.peak_demand(),
             limit.rate,
-            share.reachable,
+            share.parts,
             share.hosts,
         );
         // For a request refused by the draw, the delay is the time that its own tokens take to
         // refill.
         let missing = (needed - bucket.level()).max(tokens as f64);
-        Err(Duration::from_secs_f64(missing / rate).min(MAX_RETRY))
+        let retry = Duration::from_secs_f64(missing / rate).min(MAX_RETRY);
+        // Until others report their fullness, an empty bucket says nothing about the customer.
+        let unsettled = !self.settled && share.hosts > 1;
+        Err(if unsettled { retry.min(UNSETTLED_RETRY) } else { retry })
     }
 
     /// Refunds the tokens of a request that was not executed.
@@ -208,6 +222,11 @@
         }
     }
 
+    /// Whether the buckets reflect what was admitted before this host started.
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
     /// Totals of this host by customer, to be reported to other hosts.
     pub fn spent(&self) -> impl Iterator<Item = (&Arc<str>, TokenCounts)> {
         self.buckets.iter().map(|(name, bucket)| (name, bucket.spent(self.settled)))
--- a/crates/rosemarypitch-forward/src/remote_rows.rs
+++ b/crates/rosemarypitch-forward/src/remote_rows.rs
@@ -18,6 +18,9 @@
 const USAGE_INTERVAL: Duration = Duration::from_millis(900);
 /// Exchanges that may be missed before a row is unreachable.
 const MAX_MISSES: u32 = 3;
+/// Age of a report at which the row's parts of the limits are no longer used. Both sides of a
+/// partition use them until then, and this is all the time that the tolerance covers.
+const MAX_PARTS_AGE: Duration = Duration::from_millis(750);
 /// Exchanges that may be missed before another host of the row becomes the partner.
 const MAX_PARTNER_MISSES: u32 = 2;
 
@@ -53,6 +56,11 @@
     fn is_fresh(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.reported) <= ROW_INTERVAL * MAX_MISSES
     }
+
+    /// Whether another host of the row may replace it as the partner.
+    fn is_late(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.reported) > ROW_INTERVAL * MAX_PARTNER_MISSES
+    }
 }
 
 impl RemoteRows {
@@ -72,8 +80,12 @@
                 row.selected = Some(now);
             }
             row.selected = row.selected.or(Some(now));
+            // A working partner stays, although its position changes with each host that joins.
+            let current = row.partner.as_ref().filter(|state| !state.is_late(now));
+            let current =
+                current.map(|state| &state.host).filter(|host| layout.row_of(host) == Some(id));
             if row.failovers > 0 || layout.initiates(id) {
-                partners.extend(layout.partner(id, row.failovers).cloned());
+                partners.extend(current.or(layout.partner(id, row.failovers)).cloned());
             }
         }
         partners
@@ -93,7 +105,7 @@
             return Vec::new();
         };
         let row = self.rows.entry(id.clone()).or_default();
-        let current = row.partner.take().filter(|state| state.host == *from || state.is_fresh(now));
+        let current = row.partner.take().filter(|state| state.host == *from || !state.is_late(now));
         let mut state = match current {
             // Reports of a second partner would count the same row twice.
             Some(state) if state.host != *from => {
@@ -143,9 +155,12 @@
         due
     }
 
-    /// Last reports of the reachable rows.
-    pub fn reports(&self, now: Instant) -> impl Iterator<Item = &RowReport> {
-        self.fresh(now).map(|state| &state.report)
+    /// The rows whose parts of the limits may be used, and their last reports.
+    pub fn reports(&self, now: Instant) -> impl Iterator<Item = (&RowId, &RowReport)> {
+        let rows = self.rows.iter().filter_map(|(id, row)| Some((id, row.partner.as_ref()?)));
+        let age = move |state: &PartnerState| now.saturating_duration_since(state.reported);
+        rows.filter(move |(_, state)| age(state) <= MAX_PARTS_AGE)
+            .map(|(id, state)| (id, &state.report))
     }
 
     fn fresh(&self, now: Instant) -> impl Iterator<Item = &PartnerState> {
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -23,7 +23,7 @@
 use crate::layout::Layout;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::quota::{Quota, QuotaRules, Share};
+use crate::quota::{self, Quota, QuotaRules, Share};
 use crate::registry::{Upstream, UpstreamRegistry};
 use crate::snapshot::{Snapshot, SnapshotVersion};
 use crate::tuning::PoolTuning;
@@ -102,6 +102,8 @@
     limits: Mutex<LimitSettings>,
     next_ticket: AtomicU64,
     ready: AtomicBool,
+    /// When the first configuration was received.
+    configured_at: Mutex<Option<Instant>>,
 }
 
 /// Phase of a graceful shutdown.
@@ -135,7 +137,7 @@
             current_at: Mutex::new(None),
             revision: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
-            share: Mutex::new(Share { reachable: 1, hosts: 1, lag: Duration::ZERO }),
+            share: Mutex::new(Share { parts: 1.0, hosts: 1, lag: Duration::ZERO }),
             layout: Mutex::new(None),
             registry: Mutex::new(UpstreamRegistry::default()),
             balancers: Mutex::default(),
@@ -147,6 +149,7 @@
             limits,
             next_ticket: AtomicU64::new(1),
             ready: AtomicBool::new(false),
+            configured_at: Mutex::new(None),
         }
     }
 
@@ -175,6 +178,7 @@
         if current.as_ref().is_some_and(|old| old.version >= config.version) {
             return false;
         }
+        lock(&self.configured_at).get_or_insert_with(Instant::now);
         self.metrics.set_gauge("configuration", config.version);
         *current = Some(config);
         drop(current);
@@ -258,9 +262,17 @@
         self.ready.load(Ordering::Relaxed) && *self.stop_phase.borrow() == StopPhase::Running
     }
 
-    /// Marks the host as ready for callers; true if it was not.
-    pub fn set_ready(&self) -> bool {
-        !self.ready.swap(true, Ordering::Relaxed)
+    /// Marks the host as ready for callers once it has a configuration and its limits have
+    /// settled, or should have.
+    pub fn update_readiness(&self, now: Instant) {
+        let Some(start) = *lock(&self.configured_at) else { return };
+        let settled = self.with_quota(|quota| quota.is_settled());
+        if !settled && now.saturating_duration_since(start) < quota::SETTLE_TIME {
+            return;
+        }
+        if !self.ready.swap(true, Ordering::Relaxed) {
+            log::info!("control: ready to accept callers settled={settled}");
+        }
     }
 
     /// Share of each limit that this host may use.
@@ -268,10 +280,9 @@
         *lock(&self.share)
     }
 
-    /// Sets the share of each limit that this host may use; true if it has changed.
-    pub fn set_share(&self, share: Share) -> bool {
-        let old = std::mem::replace(&mut *lock(&self.share), share);
-        old != share
+    /// Sets the share of each limit that this host may use; returns the previous one.
+    pub fn set_share(&self, share: Share) -> Share {
+        std::mem::replace(&mut *lock(&self.share), share)
     }
 
     /// Sets the division of the hosts into rows; true if it has changed.
--- a/crates/rosemarypitch-forward/tests/limits.rs
+++ b/crates/rosemarypitch-forward/tests/limits.rs
@@ -16,7 +16,7 @@
 const RULES: QuotaRules =
     QuotaRules { window: Duration::from_secs(8), overrun: 0.1, allowance: 120_000.0 };
 const LIMIT: RateLimit = RateLimit { rate: 50_000.0, burst: 50_000.0 };
-const ALONE: Share = Share { reachable: 1, hosts: 1, lag: LAG };
+const ALONE: Share = Share { parts: 1.0, hosts: 1, lag: LAG };
 /// The draw that is least likely to be admitted.
 const DRAW: f64 = 1.0;
 /// Delay of reports between two hosts of a row.
@@ -55,7 +55,7 @@
     let mut quotas: Vec<Quota> = (0..hosts).map(|_| Quota::new(RULES, true)).collect();
     let mut reported = vec![TokenCounts::default(); hosts];
     let mut admitted = Vec::new();
-    let share = Share { reachable: if partitioned { 1 } else { hosts }, hosts, lag: ms(lag) };
+    let share = Share { parts: if partitioned { 1.0 } else { hosts as f64 }, hosts, lag: ms(lag) };
     for step in 0..30_000_u64 {
         let time = ms(step);
         let now = start + time;
@@ -128,6 +128,22 @@
     assert!(quota.take(now, &customer, ALONE, 100_000, DRAW).is_ok());
 }
 
+/// A host that has just started knows nothing of a customer's bucket. It told callers that wait
+/// for half a second at most to come back after eight.
+#[test]
+fn a_host_that_has_not_settled_asks_for_a_short_retry() {
+    let start = Instant::now();
+    let customer = customer(Some(LIMIT));
+    let share = Share { parts: 1.0, hosts: 141, lag: LAG };
+    let mut quota = Quota::new(RULES, false);
+    let wait = quota.take(start, &customer, share, 200, DRAW).expect_err("the bucket is empty");
+    assert!(wait <= ms(500), "{wait:?}");
+    quota.reconcile(start, &customer, share, &mut [0.0]);
+    quota.mark_reconciled(start, true);
+    let wait = quota.take(start, &customer, share, 20_000, DRAW).expect_err("the bucket is empty");
+    assert!(wait > ms(500), "{wait:?}");
+}
+
 #[test]
 fn refunded_tokens_can_be_taken_again() {
     let now = Instant::now();
@@ -221,7 +237,7 @@
 ) {
     let start = Instant::now();
     let customer = customer(Some(LIMIT));
-    let share = Share { reachable: 5, hosts: 5, lag: LAG };
+    let share = Share { parts: 5.0, hosts: 5, lag: LAG };
     for now in [start, start + time] {
         quota.reconcile(now, &customer, share, &mut [0.9, -3.0, 0.8, 0.7]);
         quota.mark_reconciled(now, true);
@@ -237,7 +253,7 @@
 /// A bucket that has received the admissions of several seconds in one report.
 fn outdated() -> Quota {
     let mut quota = Quota::new(RULES, true);
-    let share = Share { reachable: 5, hosts: 5, lag: LAG };
+    let share = Share { parts: 5.0, hosts: 5, lag: LAG };
     let reported = TokenDelta { asked: 400_000, admitted: 400_000 };
     quota.apply_remote(Instant::now(), &customer(Some(LIMIT)), share, reported);
     quota
@@ -260,15 +276,15 @@
 fn partitioned_hosts_divide_what_is_left() {
     let now = Instant::now();
     let customer = customer(Some(LIMIT));
-    let whole = Share { reachable: 5, hosts: 5, lag: LAG };
+    let whole = Share { parts: 5.0, hosts: 5, lag: LAG };
     let mut admitted = 0;
     let mut sides = [Quota::new(RULES, true), Quota::new(RULES, true)];
     // Half of the bucket is spent while all hosts reach each other.
     for side in &mut sides {
         side.apply_remote(now, &customer, whole, TokenDelta { asked: 0, admitted: 83_500 });
     }
-    for (side, reachable) in sides.iter_mut().zip([3, 2]) {
-        let share = Share { reachable, ..whole };
+    for (side, parts) in sides.iter_mut().zip([3.0, 2.0]) {
+        let share = Share { parts, ..whole };
         while side.take(now, &customer, share, 500, DRAW).is_ok() {
             admitted += 500;
         }
--- a/crates/rosemarypitch-forward/tests/peer_table.rs
+++ b/crates/rosemarypitch-forward/tests/peer_table.rs
@@ -5,11 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rosemarypitch_forward::announce::HostEntry;
 use rosemarypitch_forward::counters::{TokenDelta, TokenDeltas};
 use rosemarypitch_forward::layout::{self, Layout};
 use rosemarypitch_forward::peer_table::{LocalUsage, PeerTable};
-use rosemarypitch_peer::{HostReport, ReportId, RowReport, StreamUse, TokenCounts};
+use rosemarypitch_peer::{HostReport, Reach, ReportId, RowReport, StreamUse, TokenCounts};
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -31,13 +35,15 @@
     PeerTable::new(Arc::from(name), Arc::from("howrah"), 1)
 }
 
-fn view(names: &[&str]) -> u64 {
-    names.iter().fold(0, |sum, name| sum ^ layout::digest(name))
+fn digests(names: &[&str]) -> Option<Vec<u64>> {
+    Some(names.iter().map(|name| layout::digest(name)).collect())
 }
 
 fn report(incarnation: u64, sequence: u64, tokens: u64) -> HostReport {
     let own = ReportId { incarnation, sequence };
-    HostReport { id: own, view: view(&["a", "b"]), spent: spend(tokens), ..HostReport::default() }
+    let reach = Reach { division: new_table("a").layout().division(), ..Reach::default() };
+    let reached = digests(&["a", "b"]);
+    HostReport { id: own, reach, reached, spent: spend(tokens), ..HostReport::default() }
 }
 
 fn spend(tokens: u64) -> Vec<(Arc<str>, TokenCounts)> {
@@ -48,24 +54,24 @@
     vec![(Arc::from("club"), TokenDelta { asked: 0, admitted: tokens })]
 }
 
-/// Number of reachable hosts and of all hosts.
-fn share(table: &mut PeerTable, now: Instant) -> (usize, usize) {
+/// Parts of hosts in use, and the number of all hosts.
+fn share(table: &mut PeerTable, now: Instant) -> (f64, usize) {
     let share = table.share(now);
-    (share.reachable, share.hosts)
+    (share.parts, share.hosts)
 }
 
 #[test]
 fn a_host_is_reachable_while_both_ends_receive_reports() {
     let now = Instant::now();
     let mut table = new_table("a");
-    assert_eq!(share(&mut table, now), (1, 1));
+    assert_eq!(share(&mut table, now), (1.0, 1));
     table.put(Arc::from("b"), entry());
-    assert_eq!(share(&mut table, now), (1, 2));
+    assert_eq!(share(&mut table, now), (1.0, 2));
     table.apply_report(now, &Arc::from("b"), report(1, 1, 0), false);
-    assert_eq!(share(&mut table, now), (1, 2));
+    assert_eq!(share(&mut table, now), (1.0, 2));
     table.apply_report(now, &Arc::from("b"), report(1, 1, 0), true);
-    assert_eq!(share(&mut table, now), (2, 2));
-    assert_eq!(share(&mut table, now + ms(700)), (1, 2));
+    assert_eq!(share(&mut table, now), (2.0, 2));
+    assert_eq!(share(&mut table, now + ms(700)), (1.0, 2));
 }
 
 #[test]
@@ -183,10 +189,26 @@
         }
     }
 
-    /// For each host, the number of hosts whose parts it uses.
-    fn reachable_counts(&mut self) -> Vec<usize> {
+    /// For each host, the parts that it uses.
+    fn used_parts(&mut self) -> Vec<f64> {
         let now = self.now;
-        self.hosts.values_mut().map(|host| host.share(now).reachable).collect()
+        self.hosts.values_mut().map(|host| host.share(now).parts).collect()
+    }
+
+    /// For each host, the hosts whose admissions it receives.
+    fn hearing(&self) -> BTreeMap<Arc<str>, BTreeSet<Arc<str>>> {
+        let row = |host: &Arc<str>| -> BTreeSet<Arc<str>> {
+            self.hosts[host].row_reach(self.now).cloned().collect()
+        };
+        let heard = |host: &Arc<str>| {
+            let layout = self.hosts[host].layout();
+            let reachable = self.hosts[host].reachable(self.now);
+            let partners = reachable.iter().filter(|(other, _)| !layout.in_own_row(other));
+            let remote =
+                partners.flat_map(|(partner, _)| row(partner).into_iter().chain([partner.clone()]));
+            row(host).into_iter().chain(remote).collect()
+        };
+        self.hosts.keys().map(|host| (host.clone(), heard(host))).collect()
     }
 }
 
@@ -198,7 +220,7 @@
 fn connected_hosts_use_all_parts(#[case] count: usize, #[case] zones: usize) {
     let mut fleet = Fleet::new(count, zones);
     fleet.run(3_000);
-    assert_eq!(fleet.reachable_counts(), vec![count; count]);
+    assert_eq!(fleet.used_parts(), vec![count as f64; count]);
 }
 
 /// Two hosts are partitioned from each other, and the third reaches both. If each of them used
@@ -207,32 +229,50 @@
 fn partially_partitioned_hosts_use_no_part_twice() {
     let mut fleet = Fleet::new(3, 3);
     fleet.run(1_000);
-    assert_eq!(fleet.reachable_counts(), [3, 3, 3]);
+    assert_eq!(fleet.used_parts(), [3.0, 3.0, 3.0]);
     fleet.partitioned.insert((Arc::from("edge-000"), Arc::from("edge-001")));
     fleet.run(SETTLE_MS + 700);
-    let counts = fleet.reachable_counts();
-    assert!(counts.iter().sum::<usize>() <= 3, "{counts:?}");
+    // The third host receives what both admit, and they don't receive each other's.
+    let parts = fleet.used_parts();
+    assert!(parts[0] + parts[1] <= 3.0 && parts[2] <= 3.0, "{parts:?}");
     fleet.partitioned.clear();
     fleet.run(1_000);
-    assert_eq!(fleet.reachable_counts(), [3, 3, 3]);
+    assert_eq!(fleet.used_parts(), [3.0, 3.0, 3.0]);
 }
 
-/// Sum of the parts in use, where the hosts of one view use theirs together.
-fn parts_in_use(fleet: &mut Fleet) -> usize {
+/// Parts that all hosts use together if each in turn, in random order, admits as much as its
+/// bucket holds after what it has received of the others.
+fn parts_in_use(fleet: &mut Fleet, random: &mut StdRng) -> f64 {
     let now = fleet.now;
-    let mut views = BTreeMap::new();
-    for host in fleet.hosts.values_mut() {
-        views.insert(host.view(now), host.share(now).reachable);
+    let hearing = fleet.hearing();
+    let parts: BTreeMap<Arc<str>, f64> =
+        fleet.hosts.iter_mut().map(|(name, host)| (name.clone(), host.share(now).parts)).collect();
+    let mut order: Vec<&Arc<str>> = parts.keys().collect();
+    order.shuffle(random);
+    let mut used: BTreeMap<&Arc<str>, f64> = BTreeMap::new();
+    for host in order {
+        let own = parts[host];
+        let heard = used.iter().filter(|(other, _)| hearing[host].contains(**other));
+        let total = fleet.hosts.len() as f64;
+        let table = &fleet.hosts[host];
+        let debit =
+            |(other, used): (&&Arc<str>, &f64)| used * table.debit_factor(parts[*other] / total);
+        let spent: f64 = heard.map(debit).sum();
+        used.insert(host, (own - spent).max(0.0));
     }
-    views.values().sum()
+    used.values().sum()
+}
+
+/// The most that the hosts use in any order tried, as a fraction of the limit.
+fn most_in_use(fleet: &mut Fleet, random: &mut StdRng) -> f64 {
+    let count = fleet.hosts.len() as f64;
+    (0..40).map(|_| parts_in_use(fleet, random) / count).fold(0.0, f64::max)
 }
 
 #[rstest]
 #[case::mesh(12, 3)]
 #[case::rows(100, 4)]
 fn no_part_is_used_twice_under_random_partitions(#[case] count: usize, #[case] zones: usize) {
-    use rand::rngs::StdRng;
-    use rand::{Rng, SeedableRng};
     for seed in 0..6 {
         let mut random = StdRng::seed_from_u64(seed);
         let mut fleet = Fleet::new(count, zones);
@@ -243,9 +283,30 @@
             fleet.partitioned.insert((names[pair.0].clone(), names[pair.1].clone()));
         }
         fleet.run(6_000);
-        let parts = parts_in_use(&mut fleet);
-        assert!(parts <= count, "seed {seed}: {parts} parts of {count}");
+        let used = most_in_use(&mut fleet, &mut random);
+        assert!(used <= 1.0 + 1e-6, "seed {seed}: {used} of the limit");
+    }
+}
+
+/// Data centres that are cut from each other one way round: two of them reach the third, and not
+/// each other.
+#[test]
+fn no_part_is_used_twice_when_two_data_centres_share_a_third() {
+    let mut random = StdRng::seed_from_u64(1);
+    let mut fleet = Fleet::new(90, 3);
+    fleet.run(2_000);
+    let names: Vec<Arc<str>> = fleet.hosts.keys().cloned().collect();
+    for a in (0..90).step_by(3) {
+        for b in (1..90).step_by(3) {
+            fleet.partitioned.insert((names[a].clone(), names[b].clone()));
+        }
     }
+    fleet.run(6_000);
+    let used = most_in_use(&mut fleet, &mut random);
+    assert!(used <= 1.0 + 1e-6, "{used} of the limit");
+    // Each still uses at least its own parts.
+    let parts = fleet.used_parts();
+    assert!(parts.iter().all(|parts| *parts >= 30.0), "{parts:?}");
 }
 
 #[test]
@@ -259,8 +320,8 @@
     }
     for _ in 0..30 {
         fleet.run(100);
-        let counts = fleet.reachable_counts();
-        assert!(counts[..4].iter().all(|count| *count >= 4), "{counts:?}");
+        let parts = fleet.used_parts();
+        assert!(parts[..4].iter().all(|count| *count >= 4.0), "{parts:?}");
     }
 }
 
--- a/crates/rosemarypitch-peer/src/codec.rs
+++ b/crates/rosemarypitch-peer/src/codec.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 
 /// Protocol version, sent as the first byte of each message.
-pub const PROTOCOL_VERSION: u8 = 2;
+pub const PROTOCOL_VERSION: u8 = 3;
 /// Maximum length of a message, in bytes; large enough for a configuration document.
 pub const MAX_MESSAGE_BYTES: usize = 2 << 20;
 
--- a/crates/rosemarypitch-peer/src/lib.rs
+++ b/crates/rosemarypitch-peer/src/lib.rs
@@ -22,7 +22,7 @@
 pub use message::{
     BorrowItem, BorrowRequest, DebitReply, DebitRequest, EngineUse, Heartbeat, HostInfo,
     HostReport, LoanReply, LoanReturn, PeerReply, PeerRequest, PlaceReply, PlaceRequest, PoolEvent,
-    PoolKey, ReportId, RowReport, StreamUse, TokenCounts,
+    PoolKey, Reach, ReportId, RowReport, StreamUse, TokenCounts,
 };
 pub use server::{Handler, HandlerFuture, PeerServer};
 pub use traffic::Traffic;
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -101,8 +101,11 @@
     /// Last report received from the receiver, as an acknowledgement.
     #[serde(rename = "seen")]
     pub acked: ReportId,
-    /// Digest of the hosts that it receives reports from, itself included.
-    pub view: u64,
+    /// Which part of the fleet it reaches.
+    pub reach: Reach,
+    /// Digests of the names of the row's hosts that it reaches, itself included; `None` if
+    /// unchanged since the last report that the receiver acknowledged.
+    pub reached: Option<Vec<u64>>,
     /// Token counts of customers since the host started; only those that changed since the
     /// last report that the receiver acknowledged.
     pub spent: Vec<(Arc<str>, TokenCounts)>,
@@ -110,6 +113,17 @@
     pub uses: Vec<(Arc<str>, Vec<StreamUse>)>,
 }
 
+/// Part of the fleet that a host reaches.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Reach {
+    /// Digest of the division of the fleet into rows.
+    pub division: u64,
+    /// Digests of the other rows that it does not reach.
+    pub lost_rows: Vec<u64>,
+    /// Fraction of each limit that it uses.
+    pub fraction: f32,
+}
+
 /// Identifies a report of a host; all zero for none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportId {
@@ -150,12 +164,12 @@
     /// Last report received from the receiver, as an acknowledgement.
     #[serde(rename = "seen")]
     pub acked: ReportId,
-    /// Digest of the hosts counted.
-    pub members: u64,
     /// Number of hosts counted.
     pub hosts: u32,
-    /// Distinct views of these hosts, each with the number of hosts that have it.
-    pub views: Vec<(u64, u32)>,
+    /// Number of hosts of the row that are not counted, although others of the row reach them.
+    pub outsiders: u32,
+    /// Which part of the fleet the counted hosts reach together.
+    pub reach: Reach,
     /// Token counts of customers since the reporting host started; only those that changed
     /// since the last report that the receiver acknowledged.
     pub spent: Vec<(Arc<str>, TokenCounts)>,
