Two hosts of a row watch the store, the others follow them

Change: in rows of eight hosts or more the first two by name watch; the others ask one of them for the updates after their revision, which waits for up to a second, and watch the store themselves while that fails. A watcher that has lost the store, or was not current lately, says so at once. Its own watches wait 1.2 s, so that a silent one holds nobody up for longer than the shortest bound allows.

--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -16,6 +16,7 @@
 use crate::gossip::Gossip;
 use crate::registry::{Upstream, UpstreamRegistry};
 use crate::router::Router;
+use crate::watchers::{self, RelayedUpdates, Source};
 
 /// Time to detect that a watch is silent, and to act on it.
 const SILENCE_MARGIN: Duration = Duration::from_millis(700);
@@ -113,6 +114,7 @@
         }
         self.router.mark_current(now);
         self.router.set_revision(self.revision);
+        self.router.reset_updates(self.revision);
         self.full_read = false;
         self.router.update_readiness(Instant::now());
         self.propose_secret().await;
@@ -151,21 +153,17 @@
                 self.backoff = Duration::ZERO;
                 return;
             }
-            let due = self.router.registry_expiry().map(|due| due.saturating_duration_since(now));
-            // After an outage the first watch only checks whether the store is back.
-            let max_wait =
-                if self.outage { Duration::ZERO } else { watch_timeout(self.router.limits().news) };
-            let wait = due.unwrap_or(max_wait).min(max_wait);
-            let result = self.router.directory.watch(self.revision, wait).await;
+            let (result, age) = self.next_updates(now).await;
             let now = Instant::now();
             match result {
                 Ok(Updates { updates, revision }) => {
+                    self.router.record_updates(revision, updates.clone());
                     self.revision = self.revision.max(revision);
                     if self.mark_reachable() {
                         self.router.update_registry(now, |registry| registry.keep_missing(now));
                     }
                     let received = !updates.is_empty();
-                    self.apply_batch(now, updates);
+                    self.apply_batch(now, updates, age);
                     self.router.set_revision(self.revision);
                     self.router.update_readiness(Instant::now());
                     if received {
@@ -183,9 +181,37 @@
         }
     }
 
-    fn apply_batch(&mut self, now: Instant, updates: Vec<Update>) {
+    /// Waits for the next updates, from the row's watcher or the store. They reflect the store
+    /// as it was the returned time ago.
+    async fn next_updates(&self, now: Instant) -> (Result<Updates, DirectoryError>, Duration) {
+        let source = self.gossip.update_source(now);
+        if let Source::Peer(watcher) = &source
+            && !self.outage
+            && let Some(relayed) = self.gossip.relayed_updates(watcher, self.revision).await
+        {
+            let RelayedUpdates { updates, revision, age_ms } = relayed;
+            return (Ok(Updates { updates, revision }), Duration::from_millis(age_ms));
+        }
+        let now = Instant::now();
+        let due = self.router.registry_expiry().map(|due| due.saturating_duration_since(now));
+        // After an outage the first watch only checks whether the store is back.
+        let max_wait = match source {
+            _ if self.outage => Duration::ZERO,
+            Source::Store { watcher: true } => self.watch_timeout().min(watchers::WATCH_TIME),
+            Source::Store { watcher: false } | Source::Peer(_) => self.watch_timeout(),
+        };
+        let wait = due.unwrap_or(max_wait).min(max_wait);
+        (self.router.directory.watch(self.revision, wait).await, Duration::ZERO)
+    }
+
+    fn watch_timeout(&self) -> Duration {
+        watch_timeout(self.router.limits().news)
+    }
+
+    /// Applies updates that reflect the store as it was `age` ago.
+    fn apply_batch(&mut self, now: Instant, updates: Vec<Update>, age: Duration) {
         let changed = !updates.is_empty() || self.router.registry_expiry().is_some();
-        self.router.mark_current(now);
+        self.router.mark_current(now.checked_sub(age).unwrap_or(now));
         let (upstreams, rest): (Vec<Update>, Vec<Update>) = updates
             .into_iter()
             .partition(|update| matches!(update, Update::Upstream(_) | Update::UpstreamRemoved(_)));
--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, request, response};
+use serde::{Deserialize, Serialize};
 
 use crate::config::ConfigSnapshot;
 use crate::registry::Upstream;
@@ -199,7 +200,7 @@
 }
 
 /// An entry read from the store, or a change to one.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Update {
     /// The configuration was set.
     Config(Arc<ConfigSnapshot>),
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use rosemarypitch_limit::HostId;
@@ -21,6 +21,7 @@
 use crate::remote_rows::ROW_INTERVAL;
 use crate::router::Router;
 use crate::snapshot::{Snapshot, SnapshotVersion};
+use crate::watchers::{self, RelayedUpdates, Source};
 
 /// Delay in which changes of engine use are batched before they are pushed. Two hosts that
 /// place requests within it may both take an engine's last slot; the engine then refuses one
@@ -44,6 +45,10 @@
     in_progress: Mutex<HashSet<Arc<str>>>,
     /// Notified when a report arrives.
     reported: Notify,
+    /// Client for calls to the other hosts, once this host may call them.
+    client: OnceLock<Arc<PeerClient>>,
+    /// When a watcher last failed to answer.
+    relay_failed: Mutex<Option<Instant>>,
 }
 
 impl Gossip {
@@ -53,7 +58,8 @@
         let id = HostId { host: host.clone(), incarnation: incarnation() };
         let table = Mutex::new(PeerTable::new(host, router.settings.zone.clone(), id.incarnation));
         let (in_progress, reported) = (Mutex::default(), Notify::new());
-        Arc::new(Self { router, id, table, in_progress, reported })
+        let (client, relay_failed) = (OnceLock::new(), Mutex::default());
+        Arc::new(Self { router, id, table, in_progress, reported, client, relay_failed })
     }
 
     /// Adds a host, or updates its entry from the store.
@@ -97,6 +103,9 @@
             }
         });
         let peers = Arc::new(PeerClient::new(self.id.clone(), secret, traffic));
+        if self.client.set(peers.clone()).is_err() {
+            log::error!("peers: started twice");
+        }
         tokio::spawn(self.clone().push(peers.clone()));
         tokio::spawn(self.clone().sync_while_lost(peers.clone()));
         tokio::spawn(self.clone().exchange_with_partners(peers.clone()));
@@ -256,6 +265,56 @@
         }
     }
 
+    /// Where this host gets the updates of the store from.
+    pub fn update_source(&self, now: Instant) -> Source {
+        let failed = *lock(&self.relay_failed);
+        let backoff =
+            failed.is_some_and(|at| now.saturating_duration_since(at) < watchers::RELAY_BACKOFF);
+        let row: Vec<Arc<str>> = self.lock().row_reach(now).cloned().collect();
+        match watchers::source(&self.id.host, &row) {
+            Source::Peer(_) if backoff || self.client.get().is_none() => {
+                Source::Store { watcher: false }
+            }
+            source => source,
+        }
+    }
+
+    /// Gets the updates after `revision` from a watcher; none if it does not have them.
+    pub async fn relayed_updates(&self, from: &Arc<str>, revision: u64) -> Option<RelayedUpdates> {
+        let updates = self.request_updates(from, revision).await;
+        if updates.is_none() {
+            *lock(&self.relay_failed) = Some(Instant::now());
+        }
+        updates
+    }
+
+    async fn request_updates(&self, from: &Arc<str>, revision: u64) -> Option<RelayedUpdates> {
+        let client = self.client.get()?;
+        let address = self.lock().address(from)?;
+        let wait_ms = watchers::RELAY_TIME.as_millis() as u64;
+        let message = PeerRequest::Updates { revision, wait_ms };
+        let timeout = watchers::RELAY_TIME + EXCHANGE_TIMEOUT;
+        let reason = match client.call(address, &message, timeout).await {
+            Ok(PeerReply::Updates(Some(bytes))) => match rosemarypitch_peer::decode(&bytes) {
+                Ok(updates) => return Some(updates),
+                Err(error) => error,
+            },
+            Ok(PeerReply::Updates(None)) => "not available".to_owned(),
+            Ok(_) => "unexpected reply".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        log::info!("control: no updates from watcher={from} revision={revision}: {reason}");
+        None
+    }
+
+    /// Updates for a host that follows this one, encoded.
+    async fn encoded_updates(&self, revision: u64, wait: Duration) -> Option<Vec<u8>> {
+        let updates = self.router.updates_since(revision, wait).await?;
+        rosemarypitch_peer::encode(&updates)
+            .inspect_err(|error| log::error!("peers: updates cannot be encoded: {error}"))
+            .ok()
+    }
+
     fn receive_report(&self, from: &Arc<str>, report: HostReport, mutual: bool) {
         let now = Instant::now();
         let deltas = self.lock().apply_report(now, from, report, mutual);
@@ -365,6 +424,10 @@
                 PeerRequest::Snapshot { version, revision } => {
                     PeerReply::Snapshot(self.encoded_state(SnapshotVersion { version, revision }))
                 }
+                PeerRequest::Updates { revision, wait_ms } => {
+                    let wait = Duration::from_millis(wait_ms).min(watchers::RELAY_TIME);
+                    PeerReply::Updates(self.encoded_updates(revision, wait).await)
+                }
                 _ => PeerReply::NotOwner,
             }
         })
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -9,7 +9,7 @@
 //! upstreams, and [`health`] rates them by the outcomes of their requests.
 //!
 //! [`peer_table`], [`remote_rows`], [`layout`] and [`counters`] hold the state that hosts
-//! exchange, [`outsiders`] decides which parts of the limits a host may use, and [`gossip`]
+//! exchange, [`watchers`] shares the watches of the store, [`outsiders`] decides which parts of the limits a host may use, and [`gossip`]
 //! runs the exchanges. [`control`] follows the store. [`deployment`]
 //! defines the interface to the deployment.
 
@@ -43,5 +43,6 @@
 pub mod serve;
 pub mod snapshot;
 pub mod tuning;
+pub mod watchers;
 
 pub use router::{LimitSettings, Router, RouterSettings};
--- a/crates/rosemarypitch-forward/src/peer_table.rs
+++ b/crates/rosemarypitch-forward/src/peer_table.rs
@@ -156,6 +156,11 @@
         &self.layout
     }
 
+    /// Address of a host, if its entry is known.
+    pub fn address(&self, host: &str) -> Option<SocketAddr> {
+        self.hosts.get(host)?.address()
+    }
+
     /// Names of the other hosts.
     pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
         self.hosts.keys()
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -19,7 +19,7 @@
 use crate::budget::{RepeatRules, RetryBudget};
 use crate::config::ConfigSnapshot;
 use crate::control;
-use crate::deployment::{Dialect, Directory};
+use crate::deployment::{Dialect, Directory, Update, Updates};
 use crate::layout::Layout;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -27,6 +27,7 @@
 use crate::registry::{Upstream, UpstreamRegistry};
 use crate::snapshot::{Snapshot, SnapshotVersion};
 use crate::tuning::PoolTuning;
+use crate::watchers::{self, RelayedUpdates, UpdateLog};
 
 use placement::Pools;
 pub use placement::{Placement, PlacementRequest};
@@ -90,6 +91,10 @@
     /// Revision of the store up to which this host has followed it.
     revision: AtomicU64,
     store_lost: AtomicBool,
+    /// Updates of the store received by this host, for the hosts that follow it.
+    update_log: Mutex<UpdateLog>,
+    /// Notified when an update is received.
+    updated: Notify,
     share: Mutex<Share>,
     layout: Mutex<Option<Arc<Layout>>>,
     registry: Mutex<UpstreamRegistry>,
@@ -137,6 +142,8 @@
             current_at: Mutex::new(None),
             revision: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
+            update_log: Mutex::default(),
+            updated: Notify::new(),
             share: Mutex::new(Share { parts: 1.0, hosts: 1, lag: Duration::ZERO }),
             layout: Mutex::new(None),
             registry: Mutex::new(UpstreamRegistry::default()),
@@ -197,9 +204,47 @@
         self.metrics.set_gauge("revision", revision);
     }
 
+    /// Records that this host has read all entries up to `revision`.
+    pub fn reset_updates(&self, revision: u64) {
+        lock(&self.update_log).reset(revision);
+    }
+
+    /// Records updates up to `revision`, for the hosts that follow this one.
+    pub fn record_updates(&self, revision: u64, updates: Vec<Update>) {
+        lock(&self.update_log).push(revision, updates);
+        self.updated.notify_waiters();
+    }
+
+    /// Updates after `revision` for a host that follows this one; waits up to `wait` for them.
+    /// None if this host is not current with the store, or has not kept them.
+    pub async fn updates_since(&self, revision: u64, wait: Duration) -> Option<RelayedUpdates> {
+        let end = Instant::now() + wait;
+        loop {
+            let updated = self.updated.notified();
+            let now = Instant::now();
+            let current = (*lock(&self.current_at))?;
+            let age = now.saturating_duration_since(current);
+            if self.is_store_lost() || age > watchers::WATCH_TIME * 2 {
+                return None;
+            }
+            let Updates { updates, revision: reached } = lock(&self.update_log).since(revision)?;
+            if !updates.is_empty() || now >= end {
+                let age_ms = age.as_millis() as u64;
+                return Some(RelayedUpdates { updates, revision: reached, age_ms });
+            }
+            // A timeout leads to the empty reply.
+            let _ = tokio::time::timeout_at(end, updated).await;
+        }
+    }
+
     /// Records whether this host has lost the store; true if that has changed.
     pub fn set_store_lost(&self, lost: bool) -> bool {
-        self.store_lost.swap(lost, Ordering::Relaxed) != lost
+        let changed = self.store_lost.swap(lost, Ordering::Relaxed) != lost;
+        if changed && lost {
+            // Hosts that follow this one have to turn to the store themselves.
+            self.updated.notify_waiters();
+        }
+        changed
     }
 
     /// Whether the store does not answer this host.
--- a/crates/rosemarypitch-gateway/src/handler.rs
+++ b/crates/rosemarypitch-gateway/src/handler.rs
@@ -48,9 +48,10 @@
         }
         PeerRequest::Claim(request) => PeerReply::Claim(host.claims.submit_locally(request).await),
         // Only forwarding hosts handle these; an entry host has no such state.
-        PeerRequest::Report { .. } | PeerRequest::Row(_) | PeerRequest::Snapshot { .. } => {
-            PeerReply::NotOwner
-        }
+        PeerRequest::Report { .. }
+        | PeerRequest::Row(_)
+        | PeerRequest::Snapshot { .. }
+        | PeerRequest::Updates { .. } => PeerReply::NotOwner,
         PeerRequest::Verify(attempts) => {
             let mut not_running = attempts;
             not_running.retain(|attempt| !host.running.contains(attempt));
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -58,6 +58,14 @@
         /// Store revision up to which the sender is current.
         revision: u64,
     },
+    /// Requests the updates of the store from a host that watches it; the reply is sent once
+    /// there are any, or after the wait.
+    Updates {
+        /// Store revision up to which the sender is current.
+        revision: u64,
+        /// Longest wait for updates, in milliseconds.
+        wait_ms: u64,
+    },
 }
 
 /// A reply to a [`PeerRequest`].
@@ -90,6 +98,8 @@
     Done,
     /// The peer does not own the object of the request.
     NotOwner,
+    /// Updates of the store, encoded; `None` if the peer is not current, or too far ahead.
+    Updates(Option<Vec<u8>>),
 }
 
 /// Token counts and engine use of one host run.
