--- a/crates/rosemarypitch-forward/src/client.rs
+++ b/crates/rosemarypitch-forward/src/client.rs
@@ -8,11 +8,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -25,8 +26,16 @@
 /// TCP user timeout: the connection is closed when sent bytes stay unacknowledged for this
 /// long. It exceeds the time for retransmissions on a link with a few percent packet loss.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
+/// Maximum size of a response head, in bytes, and of the read buffer.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
+/// Maximum size of all response bodies that are being buffered, in bytes. Servers that send
+/// without end would otherwise take the host's memory together.
+const MAX_TOTAL_BUFFERED_BYTES: usize = 16 << 20;
+
+/// Size of all response bodies that are being buffered, in bytes.
+static TOTAL_BUFFERED_BYTES: AtomicUsize = AtomicUsize::new(0);
 
 /// An exchange without a usable response.
 #[derive(Clone, Debug, thiserror::Error)]
@@ -97,8 +106,10 @@
         address,
         reason: Arc::from(describe(&error)),
     };
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
     let (mut sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(to_error)?;
+        builder.handshake(TokioIo::new(stream)).await.map_err(to_error)?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("client: connection to {address} ended: {error}");
@@ -117,19 +128,43 @@
     read_buffered(address, send(address, request).await?).await
 }
 
-/// Reads the response body of an exchange; fails if it exceeds the size limit.
+/// Reads the response body of an exchange; fails if it exceeds the size limits.
 pub async fn read_buffered(
     address: SocketAddr,
     exchange: Exchange,
 ) -> Result<Response<Bytes>, SendError> {
-    let (head, body) = exchange.response.into_parts();
-    let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
-    let collected = collected.map_err(|error| SendError {
-        step: SendStep::Body,
-        address,
-        reason: Arc::from(error.to_string()),
-    })?;
-    Ok(Response::from_parts(head, collected.to_bytes()))
+    let to_error =
+        |reason: String| SendError { step: SendStep::Body, address, reason: Arc::from(reason) };
+    let (head, mut body) = exchange.response.into_parts();
+    let mut reserved = BufferedBytes(0);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| to_error(describe(&error)))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if !reserved.add(data.len()) {
+            return Err(to_error(format!("body too long after {} bytes", bytes.len())));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(Response::from_parts(head, bytes.freeze()))
+}
+
+/// Size of one response body that is being buffered, counted in the total until dropped.
+struct BufferedBytes(usize);
+
+impl BufferedBytes {
+    /// Adds received bytes; false if that exceeds a limit.
+    fn add(&mut self, bytes: usize) -> bool {
+        self.0 += bytes;
+        let total = TOTAL_BUFFERED_BYTES.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        self.0 <= MAX_BUFFERED_BYTES && total <= MAX_TOTAL_BUFFERED_BYTES
+    }
+}
+
+impl Drop for BufferedBytes {
+    fn drop(&mut self) {
+        TOTAL_BUFFERED_BYTES.fetch_sub(self.0, Ordering::Relaxed);
+    }
 }
 
 async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
--- a/crates/rosemarypitch-forward/src/events.rs
+++ b/crates/rosemarypitch-forward/src/events.rs
@@ -7,8 +7,8 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of an event that is buffered, in bytes; a typical event has a few hundred.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+/// Maximum size of an event, in bytes; a typical event has a few hundred.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Splits a byte stream into events and tracks the position in it.
 #[derive(Debug)]
@@ -53,6 +53,12 @@
         &self.position
     }
 
+    /// Whether the current event exceeds the size limit. A failing upstream may send bytes
+    /// without end that are no event.
+    pub fn is_overlong(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Whether another upstream can resume: no part of an incomplete event was forwarded.
     pub fn is_resumable(&self) -> bool {
         self.whole_only
@@ -62,9 +68,6 @@
     pub fn push(&mut self, bytes: &Bytes) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let end = self.scan();
-        if self.partial.len() - end > MAX_EVENT_BYTES {
-            return self.pass_through(bytes);
-        }
         let complete = self.partial.split_to(end).freeze();
         self.scanned -= end;
         self.line_start -= end;
@@ -110,12 +113,4 @@
         }
         end
     }
-
-    /// Forwards an event that is too long to buffer; the stream can't be resumed afterwards.
-    fn pass_through(&mut self, bytes: &Bytes) -> Bytes {
-        log::warn!("call: event exceeds {MAX_EVENT_BYTES} bytes, forwarding it in parts");
-        let buffered = self.partial.split().freeze();
-        self.discard_partial();
-        if std::mem::take(&mut self.whole_only) { buffered } else { bytes.clone() }
-    }
 }
--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -36,8 +36,8 @@
     /// The upstream's stream failed before its end.
     #[error("the upstream ended the stream early")]
     Upstream,
-    /// The upstream sent nothing within the idle timeout.
-    #[error("the upstream sent nothing within the idle timeout")]
+    /// The upstream sent no complete event within the idle timeout.
+    #[error("the upstream sent no complete event within the idle timeout")]
     Silent,
     /// The caller's deadline has passed.
     #[error("the deadline for the response has passed")]
@@ -132,13 +132,13 @@
 
 /// When and how a stream is resumed at another upstream.
 pub struct ResumePolicy {
-    /// Time without data after which the upstream is considered failed.
+    /// Time without a complete event after which the upstream is considered failed.
     pub idle_timeout: Duration,
     /// Starts to resume after a position; none if no further attempt is allowed.
     pub next: Box<dyn FnMut(Position) -> Option<SegmentFuture> + Send>,
 }
 
-/// Returns the time without data after which a stream's upstream is considered failed.
+/// Returns the time without a complete event after which a stream's upstream is considered failed.
 pub fn idle_timeout(route: &Route) -> Duration {
     route.gap.map_or(DEFAULT_IDLE_TIMEOUT, |gap| gap * IDLE_GAPS)
 }
@@ -210,7 +210,6 @@
 
     /// Processes a received frame and returns what to forward of it.
     fn accept(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
-        self.reset_idle_timer();
         let bytes = match frame.into_data() {
             Ok(bytes) => bytes,
             Err(trailers) => return Some(trailers),
@@ -218,10 +217,11 @@
         let before = self.events.position().events;
         let output = self.events.push(&bytes);
         let events = self.events.position().events;
-        if events > before
-            && let State::Reading(segment) = &mut self.state
-        {
-            (segment.on_events)(events);
+        if events > before {
+            self.reset_idle_timer();
+            if let State::Reading(segment) = &mut self.state {
+                (segment.on_events)(events);
+            }
         }
         (!output.is_empty()).then(|| Frame::data(output))
     }
@@ -260,6 +260,10 @@
         loop {
             let cause = match &mut stream.state {
                 State::Ended => return Poll::Ready(None),
+                State::Reading(_) if stream.events.is_overlong() => {
+                    log::warn!("call: upstream sent an event that is too long");
+                    StreamError::Upstream
+                }
                 State::Reading(segment) => match Pin::new(&mut segment.body).poll_frame(context) {
                     Poll::Ready(Some(Ok(frame))) => match stream.accept(frame) {
                         Some(frame) => return Poll::Ready(Some(Ok(frame))),
--- a/crates/rosemarypitch-forward/tests/events.rs
+++ b/crates/rosemarypitch-forward/tests/events.rs
@@ -49,13 +49,21 @@
     assert_eq!(events.finish(), at_end);
 }
 
+/// A failing upstream may send bytes without end that are no event. They were buffered up to a
+/// limit, and forwarded to the caller beyond it.
 #[test]
-fn an_event_too_long_to_buffer_is_forwarded_in_parts() {
+fn an_event_too_long_is_reported_and_not_forwarded() {
     let mut events = EventFramer::new(true);
-    let long = "x".repeat(200 << 10);
+    let long = "x".repeat(40 << 10);
+    assert_eq!(push(&mut events, "id: 1\n\n"), "id: 1\n\n");
     assert_eq!(push(&mut events, &long), "");
-    assert_eq!(push(&mut events, &long).len(), 400 << 10);
-    assert!(!events.is_resumable());
-    assert_eq!(push(&mut events, "y"), "y");
-    assert_eq!(events.finish(), "");
+    assert!(!events.is_overlong());
+    assert_eq!(push(&mut events, &long), "");
+    assert!(events.is_overlong());
+    assert!(events.is_resumable());
+    // Another upstream goes on after the last complete event.
+    events.discard_partial();
+    assert!(!events.is_overlong());
+    assert_eq!(events.position().last_id.as_deref(), Some("1"));
+    assert_eq!(push(&mut events, "id: 2\n\n"), "id: 2\n\n");
 }
