Two checks that compared nothing

The random schedules of route's pool never looked at which requests were answered: a request neither answered nor finished must still be queued. An error after tokens was compared with itself in experiment's requests: with tokens it must say that the request ran.

--- a/crates/rosemarypitch-experiment/tests/requests.rs
+++ b/crates/rosemarypitch-experiment/tests/requests.rs
@@ -127,15 +127,10 @@
 fn assert_complete_or_accurate_error(answer: &Answer) {
     match &answer.problem {
         None => assert_complete(answer),
-        Some(problem) => {
-            let executed = if answer.tokens.is_empty() { problem.executed } else { Executed::Yes };
-            assert_eq!(
-                problem.executed,
-                executed,
-                "{problem:?} after {} tokens",
-                answer.tokens.len()
-            );
+        Some(problem) if !answer.tokens.is_empty() => {
+            assert_eq!(problem.executed, Executed::Yes, "{problem:?} after tokens");
         }
+        Some(_) => {}
     }
 }
 
--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -3,6 +3,9 @@
 //! One watch covers all entries. It is renewed often enough that a host never goes on using a
 //! leaving upstream for longer than allowed, and a watch that returns nothing in time means
 //! that the store is lost. A host that has lost the store keeps its last state.
+//!
+//! In a large row most hosts request the updates from one of the row's watchers instead, and
+//! fall back to the store; see [`watchers`].
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/rosemarypitch-route/tests/pool.rs
+++ b/crates/rosemarypitch-route/tests/pool.rs
@@ -195,6 +195,7 @@
         let mut placements: HashMap<u64, Arc<str>> = HashMap::new();
         let mut answered: HashSet<u64> = HashSet::new();
         let mut arrived: HashSet<u64> = HashSet::new();
+        let mut finished: HashSet<u64> = HashSet::new();
         for (kind, request, millis) in steps {
             now += Duration::from_millis(millis);
             let id = attempt(request);
@@ -212,6 +213,7 @@
             };
             if let Event::Finished(id) = &event {
                 placements.remove(&id.request);
+                finished.insert(id.request);
             }
             for action in pool.step(now, event) {
                 match action {
@@ -232,6 +234,9 @@
                 assert!(held as u32 <= slots, "{held} on {decode}");
             }
         }
+        // A request that has been neither answered nor finished is still queued.
+        let open = arrived.iter().filter(|id| !answered.contains(id) && !finished.contains(id));
+        assert!(open.count() <= pool.waiting(), "{} waiting", pool.waiting());
         for request in 0..24 {
             pool.step(now, Event::Finished(attempt(request)));
         }
