A reordered report does not restore outsiders

Cause: exchanges overlap, so a report may arrive after a later one; its list of reached hosts was taken, and is not sent again until it changes. A host on it that had gone stayed an outsider, and halved the part of its sender. Found in the read-through. Change: reach, reached hosts and engine use are taken from reports that are not older than the last one.

--- a/crates/rosemarypitch-forward/src/counters.rs
+++ b/crates/rosemarypitch-forward/src/counters.rs
@@ -67,6 +67,11 @@
 }
 
 impl CounterReplica {
+    /// Whether a report is not older than the last one received.
+    pub fn is_current(&self, id: ReportId) -> bool {
+        self.seen.incarnation != id.incarnation || id.sequence >= self.seen.sequence
+    }
+
     /// Applies a report; returns the previous values of its counters in the same order, or none
     /// if it is the first of a run or older than the last one. An older report is ignored.
     pub fn apply(
@@ -75,7 +80,7 @@
         spent: &[(Arc<str>, TokenCounts)],
     ) -> Option<Vec<TokenCounts>> {
         let same_run = self.seen.incarnation == seen.incarnation && self.seen.sequence > 0;
-        if same_run && seen.sequence < self.seen.sequence {
+        if !self.is_current(seen) {
             return None;
         }
         if !same_run {
--- a/crates/rosemarypitch-forward/src/peer_table.rs
+++ b/crates/rosemarypitch-forward/src/peer_table.rs
@@ -237,11 +237,13 @@
         let was_reporting = peer.is_reporting(now, interval);
         peer.reported = Some(now);
         peer.mutual = mutual;
-        peer.uses = report.uses;
         let sender_fraction = f64::from(report.reach.fraction);
-        peer.reach = report.reach;
-        if let Some(reached) = report.reached {
-            peer.reached = reached;
+        if peer.replica.is_current(report.id) {
+            peer.uses = report.uses;
+            peer.reach = report.reach;
+            if let Some(reached) = report.reached {
+                peer.reached = reached;
+            }
         }
         if report.acked.incarnation == self.incarnation {
             peer.replica.acked = report.acked.sequence;
--- a/crates/rosemarypitch-forward/tests/peer_table.rs
+++ b/crates/rosemarypitch-forward/tests/peer_table.rs
@@ -391,6 +391,29 @@
     assert_eq!(table.apply_report(now, &other, report(1, 4, 500), true), admitted(100));
 }
 
+/// Exchanges overlap, so a report may arrive after a later one. A list of reached hosts is sent
+/// only when it changes: an outdated one would stay, and make the hosts on it outsiders.
+#[test]
+fn a_reordered_report_does_not_restore_outsiders() {
+    let start = Instant::now();
+    let mut table = new_table("a");
+    let other = Arc::from("b");
+    table.put(other, entry());
+    let reached =
+        |sequence, names: &[&str]| HostReport { reached: digests(names), ..report(1, sequence, 0) };
+    let reports =
+        [reached(1, &["a", "b", "c"]), reached(3, &["a", "b"]), reached(2, &["a", "b", "c"])];
+    for report in reports {
+        table.apply_report(start, &Arc::from("b"), report, true);
+    }
+    for step in 0..40 {
+        let now = start + ms(step * INTERVAL_MS);
+        let unchanged = HostReport { reached: None, ..report(1, 4 + step, 0) };
+        table.apply_report(now, &Arc::from("b"), unchanged, true);
+        assert_eq!(share(&mut table, now), (2.0, 2), "after {} ms", step * INTERVAL_MS);
+    }
+}
+
 #[test]
 fn hosts_of_a_large_fleet_have_few_peers() {
     let hosts: BTreeMap<Arc<str>, Arc<str>> = (0..300)
