Read or drain the body of a request that is refused by its head

What callers saw: a request on an unknown route, with an unknown key, at a host without a current configuration, too large or malformed was refused while its body was still arriving, and its connection then ended with a reset. The refusal could be lost, and the response did not announce the close. Cause: admit refused by the head alone and dropped the unread body. hyper then tries one read, gives up, and closes the connection without 'Connection: close'; unread bytes turn the close into a reset. 'panicked at platform/tests/callers.rs:100:13: Err(Os { code: 32, kind: BrokenPipe, message: "Broken pipe" })', and no 'connection: close' for a caller that expects 100 Continue (callers.rs:147:5). Fix: the body is read within its size and time before the refusal is sent, and the connection goes on. The refusal's log line says whether the body had been read.

--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -11,11 +11,11 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
 
-use crate::config::{ConfigSnapshot, Customer, Route, Service};
+use crate::body;
+use crate::config::{CallerBounds, ConfigSnapshot, Customer, Route, Service};
 use crate::deployment::{RequestMeta, Tokens};
 use crate::generate;
 use crate::plain;
@@ -23,8 +23,6 @@
 use crate::relay::{self, ResponseBody};
 use crate::router::Router;
 
-/// Timeout for reading a body; callers usually send the body together with the head.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// `Retry-After` of refusals for which there is no better estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -71,29 +69,55 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let start = Instant::now();
-    let (head, body) = request.into_parts();
-    let meta = match router.dialect.parse_request(&head) {
-        Ok(meta) => meta,
+    let (head, mut body) = request.into_parts();
+    let expects = head.headers.contains_key(header::EXPECT);
+    let (attempt, admitted) = match router.dialect.parse_request(&head) {
+        Ok(meta) => (meta.attempt.clone(), admit(&router, start, head, &mut body, meta).await),
         Err(error) => {
-            log::info!("call: refused path={} cause=malformed fault=\"{error}\"", head.uri.path());
-            return Ok(refusal_response(&router, "", &Refusal::not_run(Cause::Malformed)));
+            log::info!("call: malformed path={} fault=\"{error}\"", head.uri.path());
+            (Arc::from(""), Err(Refusal::not_run(Cause::Malformed)))
         }
     };
-    let attempt = meta.attempt.clone();
-    let response = match admit(&router, start, head, body, meta).await {
+    Ok(match admitted {
         Ok(call) => respond(&router, call).await,
-        Err(refusal) => {
-            log::info!(
-                "call: refused attempt={attempt} cause={} ran=no version={} age_ms={}",
-                refusal.cause.name(),
-                router.config().map_or(0, |config| config.version),
-                start.elapsed().as_millis(),
-            );
-            router.metrics.record_response("-", "-", refusal.cause.name(), start.elapsed());
-            refusal_response(&router, &attempt, &refusal)
-        }
-    };
-    Ok(response)
+        Err(refusal) => refuse_unadmitted(&router, start, &attempt, &refusal, body, expects).await,
+    })
+}
+
+/// Refuses a request whose body may be unread.
+///
+/// The body of a caller that expects `100 Continue` is not asked for.
+async fn refuse_unadmitted(
+    router: &Router,
+    start: Instant,
+    attempt: &str,
+    refusal: &Refusal,
+    mut body: Incoming,
+    expects: bool,
+) -> Response<ResponseBody> {
+    let config = router.config();
+    let limit = config.as_ref().map_or(CallerBounds::default(), |config| config.bounds).body_bytes;
+    let read = body.is_end_stream()
+        || !ends_connection(refusal.cause) && !expects && body::discard(&mut body, limit).await;
+    log::info!(
+        "call: refused attempt={attempt} cause={} ran=no version={} body={} age_ms={}",
+        refusal.cause.name(),
+        config.map_or(0, |config| config.version),
+        if read { "read" } else { "unread" },
+        start.elapsed().as_millis(),
+    );
+    router.metrics.record_response("-", "-", refusal.cause.name(), start.elapsed());
+    let mut response = refusal_response(router, attempt, refusal);
+    if !read {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        *response.body_mut() = body::empty_then_drain(body);
+    }
+    response
+}
+
+/// Whether no further request is read from the connection of a refused one.
+fn ends_connection(cause: Cause) -> bool {
+    matches!(cause, Cause::SlowCaller | Cause::TooLarge | Cause::Malformed)
 }
 
 async fn respond(router: &Arc<Router>, call: Call) -> Response<ResponseBody> {
@@ -150,17 +174,13 @@
     router: &Arc<Router>,
     start: Instant,
     head: request::Parts,
-    body: Incoming,
+    body: &mut Incoming,
     meta: RequestMeta,
 ) -> Result<Call, Refusal> {
     check_framing(&head)?;
     let config = router.config().ok_or_else(not_configured)?;
     authorize(router, &config, &head, &meta)?;
-    let limit = config.bounds.body_bytes;
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Refusal::not_run(Cause::TooLarge));
-    }
-    let body = read_body(body, limit).await?;
+    let body = body::read(body, config.bounds.body_bytes).await?;
     // The configuration may have changed while the body was read.
     let config = router.config().unwrap_or(config);
     let (route, customer) = authorize(router, &config, &head, &meta)?;
@@ -221,16 +241,6 @@
     Some(host.split_once(':').map_or(host, |(name, _)| name))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let read = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    match read {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::not_run(Cause::TooLarge)),
-        Ok(Err(_)) => Err(Refusal::not_run(Cause::Malformed)),
-        Err(_) => Err(Refusal::not_run(Cause::SlowCaller)),
-    }
-}
-
 /// Draws one of a route's services at random, by weight.
 fn choose_service(config: &ConfigSnapshot, route: &Route) -> Option<Arc<Service>> {
     let candidates = route.split.iter().filter(|(name, _)| config.services.contains_key(name));
@@ -277,7 +287,7 @@
     if let Some(retry) = refusal.retry_after {
         set_retry_after(headers, retry);
     }
-    if matches!(refusal.cause, Cause::SlowCaller | Cause::TooLarge | Cause::Malformed) {
+    if ends_connection(refusal.cause) {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     router.dialect.mark_refusal(headers, attempt);
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod announce;
 pub mod balance;
+pub mod body;
 pub mod bucket;
 pub mod budget;
 pub mod call;
