Read everything again where a watch of the store is unreadable

What callers would see: a host that goes on with an old configuration and old servers, and answers 503 once it counts as stale, though the store serves it. Cause: a response over 8 MB, for instance after seven values of the largest size by another writer, or one that cannot be decoded, counted as a lost store. The watch was repeated from the same revision, got the same response, and the host never followed the store again.

--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -72,7 +72,7 @@
     backoff: Duration,
     revision: u64,
     /// Whether all entries have to be read: at the start, after the store has compacted its
-    /// history, and some time after an outage.
+    /// history or a watch was unreadable, and some time after an outage.
     full_read: bool,
     /// When to read all entries again after an outage, to remove hosts whose entries have
     /// expired.
@@ -179,6 +179,13 @@
                     self.backoff = Duration::ZERO;
                     return;
                 }
+                Err(error @ DirectoryError::Unreadable { .. }) => {
+                    log::warn!("control: watch unreadable revision={} {error}", self.revision);
+                    self.full_read = true;
+                    // A store whose responses stay unreadable is not read without pause.
+                    self.backoff = MAX_BACKOFF;
+                    return;
+                }
                 Err(error) => return self.mark_lost(&error),
             }
         }
--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -187,6 +187,17 @@
     /// The requested revision has been compacted; everything has to be read again.
     #[error("store: the history is gone")]
     Compacted,
+    /// A complete response that is too long or cannot be decoded; the same request would get it
+    /// again.
+    #[error("store {address}: {step}: unreadable: {reason}")]
+    Unreadable {
+        /// Operation that failed.
+        step: &'static str,
+        /// Address of the store.
+        address: Arc<str>,
+        /// Description of the failure.
+        reason: Arc<str>,
+    },
     /// No response, or an error.
     #[error("store {address}: {step}: {reason}")]
     Unavailable {
