Log why a request or stream is not retried, and how far a stream had come

The log said `stream ended .. end=Broken(Silent)`, but not whether a resume was refused, nor how many events had come, so this could not be told from a stream that had ended before it began.

`stream ended` now has `events=`. `stream not resumed` and `not retried` give the reason: route, attempts, deadline or budget. `may_retry` returns that reason in place of `false`; its conditions are the same.

--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -28,6 +28,7 @@
 use crate::refusal::{Cause, Ran, Refusal};
 use crate::registry::Upstream;
 use crate::relay::{self, OpenStream, ResponseBody, ResumePolicy, SegmentFuture, Stream};
+use crate::retry::Denial;
 use crate::router::Router;
 
 /// Timeout of control requests, which engines answer immediately.
@@ -58,7 +59,8 @@
     let state = Arc::new(Mutex::new(state));
     let next = Box::new(move |position: Position| {
         let mut current = state.lock().unwrap_or_else(|error| error.into_inner()).clone();
-        if !current.may_retry(&router, &call, Progress::Delivered) {
+        if let Err(denial) = current.may_retry(&router, &call, Progress::Delivered) {
+            relay::log_not_resumed(&call, &position, denial);
             return None;
         }
         let (router, call, state) = (router.clone(), call.clone(), state.clone());
@@ -146,14 +148,19 @@
 
     /// Whether another attempt is allowed. One that follows a delivered attempt draws on the
     /// service's retry budget.
-    fn may_retry(&self, router: &Router, call: &Call, progress: Progress) -> bool {
+    fn may_retry(&self, router: &Router, call: &Call, progress: Progress) -> Result<(), Denial> {
         let now = Instant::now();
         let allowed = self.ran == Ran::No || call.route.kind.may_run_again();
         let left = self.placements < MAX_PLACEMENTS && self.possible_runs < call.route.max_attempts;
-        if progress == Progress::NoRetry || !allowed || !left || call.remaining(now).is_zero() {
-            return false;
+        match progress {
+            Progress::NoRetry => Err(Denial::Final),
+            _ if !allowed => Err(Denial::Route),
+            _ if !left => Err(Denial::Attempts),
+            _ if call.remaining(now).is_zero() => Err(Denial::Deadline),
+            Progress::Unsent => Ok(()),
+            Progress::Delivered if router.take_retry(now, &call.service.name) => Ok(()),
+            Progress::Delivered => Err(Denial::Budget),
         }
-        progress == Progress::Unsent || router.take_retry(now, &call.service.name)
     }
 }
 
@@ -173,7 +180,15 @@
             Err(failure) => failure,
         };
         let refusal = state.record(failure.refusal);
-        if !state.may_retry(router, call, failure.progress) {
+        if let Err(denial) = state.may_retry(router, call, failure.progress) {
+            if denial != Denial::Final {
+                log::info!(
+                    "call: not retried attempt={} cause={} reason={}",
+                    call.meta.attempt,
+                    refusal.cause.name(),
+                    denial.name(),
+                );
+            }
             return Err(refusal);
         }
         log::info!(
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -135,7 +135,7 @@
     }
     let success = head.status.is_success();
     let on_events = progress_callback(router, call, slot.engine.id.clone(), slot.ticket);
-    let on_end = move |end: StreamEnd| finish_stream(slot, end, success);
+    let on_end = move |end, events| finish_stream(slot, end, events, success);
     let segment = Segment::new(body, exchange.connection, on_events, on_end);
     Ok(OpenStream { head, segment })
 }
@@ -162,9 +162,9 @@
     router.with_pool(&call.service.name, |pool| pool.record_outcome(now, prefill_engine, outcome));
 }
 
-fn finish_stream(slot: SlotGuard, end: StreamEnd, success: bool) {
+fn finish_stream(slot: SlotGuard, end: StreamEnd, events: u64, success: bool) {
     log::info!(
-        "call: stream ended attempt={} engine={} end={end:?} age_ms={}",
+        "call: stream ended attempt={} engine={} end={end:?} events={events} age_ms={}",
         slot.call.meta.attempt,
         slot.engine.id,
         slot.call.start.elapsed().as_millis(),
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod registry;
 pub mod relay;
 pub mod remote_rows;
+pub mod retry;
 pub mod router;
 pub mod serve;
 pub mod snapshot;
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -21,6 +21,7 @@
 use crate::refusal::{Cause, Ran, Refusal};
 use crate::registry::Upstream;
 use crate::relay::{self, OpenStream, ResponseBody, ResumePolicy, SegmentFuture, Stream};
+use crate::retry::Denial;
 use crate::router::Router;
 
 use send::SendOutcome;
@@ -58,7 +59,8 @@
     let next = Box::new(move |position: Position| {
         let (router, call, state) = (router.clone(), call.clone(), state.clone());
         let mut current = state.lock().unwrap_or_else(|error| error.into_inner()).clone();
-        if !current.may_retry(&router, &call) {
+        if let Err(denial) = current.may_retry(&router, &call) {
+            relay::log_not_resumed(&call, &position, denial);
             return None;
         }
         let resuming: SegmentFuture = Box::pin(async move {
@@ -117,16 +119,24 @@
 impl RetryState {
     /// Whether another attempt is allowed. One that follows a delivered attempt draws on the
     /// service's retry budget.
-    fn may_retry(&self, router: &Router, call: &Call) -> bool {
-        if self.unreachable >= MAX_UNREACHABLE || call.remaining(Instant::now()).is_zero() {
-            return false;
-        }
-        if self.delivered == 0 {
-            return true;
-        }
+    fn may_retry(&self, router: &Router, call: &Call) -> Result<(), Denial> {
+        let now = Instant::now();
         let safe = self.ran == Ran::No || call.route.kind.may_run_again();
-        let sends_left = self.possible_runs < call.route.max_attempts;
-        safe && sends_left && router.take_retry(Instant::now(), &call.service.name)
+        if call.remaining(now).is_zero() {
+            Err(Denial::Deadline)
+        } else if self.unreachable >= MAX_UNREACHABLE {
+            Err(Denial::Attempts)
+        } else if self.delivered == 0 {
+            Ok(())
+        } else if !safe {
+            Err(Denial::Route)
+        } else if self.possible_runs >= call.route.max_attempts {
+            Err(Denial::Attempts)
+        } else if router.take_retry(now, &call.service.name) {
+            Ok(())
+        } else {
+            Err(Denial::Budget)
+        }
     }
 
     fn record_run(&mut self) {
@@ -162,7 +172,8 @@
             SendOutcome::Unsent => state.unreachable += 1,
             SendOutcome::Unknown => state.record_run(),
         }
-        if !state.may_retry(router, call) {
+        if let Err(denial) = state.may_retry(router, call) {
+            log::info!("call: not retried attempt={} reason={}", call.meta.attempt, denial.name());
             break;
         }
     }
--- a/crates/rosemarypitch-forward/src/plain/send.rs
+++ b/crates/rosemarypitch-forward/src/plain/send.rs
@@ -135,9 +135,9 @@
         }
         ReceivedBody::Stream(exchange) => {
             let attempt = call.meta.attempt.clone();
-            let on_end = move |end: StreamEnd| {
+            let on_end = move |end, events| {
                 log::info!(
-                    "call: stream ended attempt={attempt} upstream={} end={end:?}",
+                    "call: stream ended attempt={attempt} upstream={} end={end:?} events={events}",
                     in_flight.id
                 );
                 match end {
--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::config::Route;
 use crate::events::{EventFramer, Position};
 use crate::refusal::Refusal;
+use crate::retry::Denial;
 use crate::router::Router;
 
 /// Idle timeout in multiples of the route's maximum gap between events. Callers give up
@@ -64,11 +65,13 @@
 }
 
 type OnEvents = Box<dyn FnMut(u64) + Send>;
-type OnEnd = Box<dyn FnOnce(StreamEnd) + Send>;
+type OnEnd = Box<dyn FnOnce(StreamEnd, u64) + Send>;
 
 /// Part of a stream that comes from one upstream.
 pub struct Segment {
     body: Incoming,
+    /// Number of events in the whole stream after the latest one of this part.
+    events: u64,
     on_events: OnEvents,
     on_end: Option<OnEnd>,
     _connection: Connection,
@@ -78,24 +81,31 @@
     /// Wraps a response's body and its connection.
     ///
     /// `on_events` is called with the number of events in the whole stream so far, and
-    /// `on_end` once when this part of it ends.
+    /// `on_end` once when this part of it ends, with that number; it is 0 if this part
+    /// had no event.
     pub fn new(
         body: Incoming,
         connection: Connection,
         on_events: impl FnMut(u64) + Send + 'static,
-        on_end: impl FnOnce(StreamEnd) + Send + 'static,
+        on_end: impl FnOnce(StreamEnd, u64) + Send + 'static,
     ) -> Self {
         Self {
             body,
+            events: 0,
             on_events: Box::new(on_events),
             on_end: Some(Box::new(on_end)),
             _connection: connection,
         }
     }
 
+    fn record_events(&mut self, events: u64) {
+        self.events = events;
+        (self.on_events)(events);
+    }
+
     fn end(&mut self, end: StreamEnd) {
         if let Some(on_end) = self.on_end.take() {
-            on_end(end);
+            on_end(end, self.events);
         }
     }
 }
@@ -154,6 +164,17 @@
     );
 }
 
+/// Logs why an interrupted stream is not resumed.
+pub fn log_not_resumed(call: &Call, position: &Position, denial: Denial) {
+    log::info!(
+        "call: stream not resumed attempt={} after={} events={} reason={}",
+        call.meta.attempt,
+        position.last_id.as_deref().unwrap_or("-"),
+        position.events,
+        denial.name(),
+    );
+}
+
 /// A response body that relays a stream from one or more upstreams to a caller.
 pub struct Stream {
     state: State,
@@ -220,7 +241,7 @@
         if events > before {
             self.reset_idle_timer();
             if let State::Reading(segment) = &mut self.state {
-                (segment.on_events)(events);
+                segment.record_events(events);
             }
         }
         (!output.is_empty()).then(|| Frame::data(output))
