Keep a silent upstream's stream until another upstream is ready

Callers saw streams that ended without their rest though their engine was sound (LOST): the engine had only paused for about a second, which is no failure.

Cause: `relay::Stream` closed the connection to an upstream without an event for three gaps, and only then asked whether another one may resume. If that was refused (retry budget, free slots, a key withdrawn in the meantime), the caller's connection ended. One engine that pauses did this to all its streams at once, which also used up the budget.

Fix: resuming has two phases. While the upstream is silent its body is still read, and `prepare` takes a retry, reserves a slot at another engine and prefills the prompt there. Only once that has succeeded is the old connection closed, and the request is sent in the second phase; the next engine never gets it while the old connection is open. If the upstream speaks first, the preparation is dropped: `RetryPermit` puts its retry back, the guards release slot and cache. If it is refused, the stream goes on being read, and the question is asked again after another idle timeout. A broken connection is resumed at once as before. The silent engine is avoided for a short time, and is usable again with its next event. The idle timeout is half of what callers bear, from 1.5 s to 3 s.

Plain services choose the next server in the same way before the old connection is closed; a retry for which there is no other server is put back.

--- a/crates/rosemarypitch-forward/src/budget.rs
+++ b/crates/rosemarypitch-forward/src/budget.rs
@@ -57,6 +57,13 @@
         true
     }
 
+    /// Returns the retry taken at `taken`, which was not made.
+    pub fn put_back(&mut self, taken: Instant) {
+        if let Some(index) = self.retries.iter().position(|at| *at == taken) {
+            self.retries.remove(index);
+        }
+    }
+
     fn drop_expired(&mut self, now: Instant) {
         let window = self.rules.window;
         for queue in [&mut self.requests, &mut self.retries] {
--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -12,9 +12,10 @@
 
 mod decode;
 mod prefill;
+mod resume;
 mod slot;
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::Response;
@@ -27,10 +28,13 @@
 use crate::plain;
 use crate::refusal::{Cause, Ran, Refusal};
 use crate::registry::Upstream;
-use crate::relay::{self, OpenStream, ResponseBody, ResumePolicy, SegmentFuture, Stream};
-use crate::retry::Denial;
+use crate::relay::{self, OpenStream, ResponseBody, Stream};
+use crate::retry::{Denial, RetryPermit};
 use crate::router::Router;
 
+use prefill::KvCache;
+use slot::SlotGuard;
+
 /// Timeout of control requests, which engines answer immediately.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(400);
 /// `Retry-After` when engines failed rather than were full.
@@ -44,37 +48,13 @@
     call: &Arc<Call>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let mut state = RetryState::default();
-    let opened = open_stream(router, call, &mut state, None).await?;
+    let opened = open_stream(router, call, &mut state, None, None).await?;
     let resumable = call.route.kind.may_run_again() && opened.head.status.is_success();
-    let policy = resumable.then(|| resume_policy(router, call, state));
+    let policy = resumable.then(|| resume::policy(router, call, state));
     let body = |segment| Stream::relay(segment, call.deadline, policy);
     Ok(relay::response(router, opened, body))
 }
 
-/// Returns how an interrupted stream is resumed at another engine.
-fn resume_policy(router: &Arc<Router>, call: &Arc<Call>, state: RetryState) -> ResumePolicy {
-    let idle_timeout = relay::idle_timeout(&call.route);
-    let (router, call) = (router.clone(), call.clone());
-    // Only one attempt to resume runs at a time.
-    let state = Arc::new(Mutex::new(state));
-    let next = Box::new(move |position: Position| {
-        let mut current = state.lock().unwrap_or_else(|error| error.into_inner()).clone();
-        if let Err(denial) = current.may_retry(&router, &call, Progress::Delivered) {
-            relay::log_not_resumed(&call, &position, denial);
-            return None;
-        }
-        let (router, call, state) = (router.clone(), call.clone(), state.clone());
-        let resuming: SegmentFuture = Box::pin(async move {
-            let opened = open_stream(&router, &call, &mut current, Some(&position)).await;
-            *state.lock().unwrap_or_else(|error| error.into_inner()) = current;
-            relay::log_resumed(&call, &position, opened.as_ref().err());
-            opened.ok().filter(|opened| opened.head.status.is_success()).map(|o| o.segment)
-        });
-        Some(resuming)
-    });
-    ResumePolicy { idle_timeout, next }
-}
-
 /// Outcome of a request's attempts so far.
 #[derive(Clone, Debug)]
 struct RetryState {
@@ -89,7 +69,7 @@
     /// Prefill engines whose KV cache could not be fetched.
     lost_caches: Vec<Arc<str>>,
     /// Engine of the latest attempt. If only its connection broke, it still has the
-    /// prompt's KV cache. None once it has been retried.
+    /// prompt's KV cache, and is retried once.
     last_engine: Option<Arc<str>>,
     /// Whether the current attempt goes to the same engine as the previous one.
     same_engine: bool,
@@ -148,7 +128,12 @@
 
     /// Whether another attempt is allowed. One that follows a delivered attempt draws on the
     /// service's retry budget.
-    fn may_retry(&self, router: &Router, call: &Call, progress: Progress) -> Result<(), Denial> {
+    fn may_retry(
+        &self,
+        router: &Arc<Router>,
+        call: &Call,
+        progress: Progress,
+    ) -> Result<Option<RetryPermit>, Denial> {
         let now = Instant::now();
         let allowed = self.ran == Ran::No || call.route.kind.may_run_again();
         let left = self.placements < MAX_PLACEMENTS && self.possible_runs < call.route.max_attempts;
@@ -157,22 +142,46 @@
             _ if !allowed => Err(Denial::Route),
             _ if !left => Err(Denial::Attempts),
             _ if call.remaining(now).is_zero() => Err(Denial::Deadline),
-            Progress::Unsent => Ok(()),
-            Progress::Delivered if router.take_retry(now, &call.service.name) => Ok(()),
-            Progress::Delivered => Err(Denial::Budget),
+            Progress::Unsent => Ok(None),
+            Progress::Delivered => RetryPermit::take(router, call).map(Some),
         }
     }
 }
 
+/// An engine that is ready to receive a request.
+struct Prepared {
+    slot: SlotGuard,
+    /// KV cache of the prompt; none if the engine has it or prefills the prompt itself.
+    cache: Option<KvCache>,
+    /// Retry that the request draws on, if any.
+    permit: Option<RetryPermit>,
+}
+
 /// Sends a request to one engine after another until one responds.
+///
+/// `prepared` is the first one, if it has been prepared already.
 async fn open_stream(
     router: &Arc<Router>,
     call: &Arc<Call>,
     state: &mut RetryState,
     after: Option<&Position>,
+    mut prepared: Option<Prepared>,
 ) -> Result<OpenStream, Refusal> {
+    let mut permit = None;
     loop {
-        let failure = match attempt(router, call, state, after).await {
+        let ready = match prepared.take() {
+            Some(prepared) => Ok(prepared),
+            None => {
+                let last_engine = state.last_engine.clone().filter(|_| !state.same_engine);
+                let choice = EngineChoice { first: last_engine, excluded: None };
+                prepare(router, call, state, after, choice, permit.take()).await
+            }
+        };
+        let opened = match ready {
+            Ok(prepared) => decode::decode(router, call, state, prepared, after).await,
+            Err(failure) => Err(failure),
+        };
+        let failure = match opened {
             Ok(opened) => {
                 state.possible_runs += u32::from(!state.same_engine);
                 return Ok(opened);
@@ -180,17 +189,20 @@
             Err(failure) => failure,
         };
         let refusal = state.record(failure.refusal);
-        if let Err(denial) = state.may_retry(router, call, failure.progress) {
-            if denial != Denial::Final {
-                log::info!(
-                    "call: not retried attempt={} cause={} reason={}",
-                    call.meta.attempt,
-                    refusal.cause.name(),
-                    denial.name(),
-                );
+        permit = match state.may_retry(router, call, failure.progress) {
+            Ok(permit) => permit,
+            Err(denial) => {
+                if denial != Denial::Final {
+                    log::info!(
+                        "call: not retried attempt={} cause={} reason={}",
+                        call.meta.attempt,
+                        refusal.cause.name(),
+                        denial.name(),
+                    );
+                }
+                return Err(refusal);
             }
-            return Err(refusal);
-        }
+        };
         log::info!(
             "call: retrying on another engine attempt={} cause={} ran={:?} round={}",
             call.meta.attempt,
@@ -201,16 +213,27 @@
     }
 }
 
-async fn attempt(
+/// Which engines a request may be placed at.
+#[derive(Clone, Debug, Default)]
+struct EngineChoice {
+    /// Engine that is tried first; only for streams that are resumed.
+    first: Option<Arc<str>>,
+    /// Engine that is not used.
+    excluded: Option<Arc<str>>,
+}
+
+/// Reserves a slot at an engine and prefills the prompt.
+async fn prepare(
     router: &Arc<Router>,
     call: &Arc<Call>,
     state: &mut RetryState,
     after: Option<&Position>,
-) -> Result<OpenStream, FailedAttempt> {
+    choice: EngineChoice,
+    permit: Option<RetryPermit>,
+) -> Result<Prepared, FailedAttempt> {
     let queued = Instant::now();
     let requeued = state.placements > 0 || after.is_some();
-    let last_engine = state.last_engine.take();
-    let slot = slot::acquire(router, call, requeued, after, last_engine.as_ref()).await?;
+    let slot = slot::acquire(router, call, requeued, after, &choice).await?;
     router.metrics.record_wait(&call.service.name, call.customer_name(), queued.elapsed());
     call::reauthorize(router, call)?;
     log::info!(
@@ -223,11 +246,11 @@
         queued.elapsed().as_millis(),
     );
     state.placements += 1;
-    state.same_engine = last_engine.is_some_and(|last_engine| last_engine == slot.engine.id);
-    state.last_engine = (!state.same_engine).then(|| slot.engine.id.clone());
-    let source =
+    state.same_engine = choice.first.is_some_and(|first| first == slot.engine.id);
+    state.last_engine = Some(slot.engine.id.clone());
+    let cache =
         if state.same_engine { None } else { prefill::prefill(router, call, state).await? };
-    decode::decode(router, call, state, slot, source, after).await
+    Ok(Prepared { slot, cache, permit })
 }
 
 fn build_request(
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -7,7 +7,9 @@
 
 use super::prefill::KvCache;
 use super::slot::SlotGuard;
-use super::{FAILED_RETRY_AFTER, FailedAttempt, Progress, RetryState, build_request, jitter};
+use super::{
+    FAILED_RETRY_AFTER, FailedAttempt, Prepared, Progress, RetryState, build_request, jitter,
+};
 use crate::call::Call;
 use crate::client::{self, Exchange, SendError};
 use crate::deployment::ServingStage;
@@ -16,7 +18,7 @@
 use crate::plain::{self, ResponseClass};
 use crate::pool::{DecodeEnd, Ticket};
 use crate::refusal::{Cause, Ran, Refusal};
-use crate::relay::{OpenStream, Segment, StreamEnd, StreamError};
+use crate::relay::{self, OpenStream, Segment, StreamEnd, StreamError};
 use crate::router::Router;
 
 /// Timeout for the start of a response, in multiples of the route's target, where the
@@ -28,11 +30,14 @@
     router: &Arc<Router>,
     call: &Arc<Call>,
     state: &mut RetryState,
-    mut slot: SlotGuard,
-    mut cache: Option<KvCache>,
+    prepared: Prepared,
     after: Option<&Position>,
 ) -> Result<OpenStream, FailedAttempt> {
     let sent = Instant::now();
+    let Prepared { mut slot, mut cache, permit } = prepared;
+    if let Some(permit) = permit {
+        permit.spend();
+    }
     let reservation = slot.reservation.take();
     let source = cache.as_ref().map(|cache| &cache.source);
     let stage = ServingStage::Run { reservation: reservation.as_deref(), source };
@@ -186,12 +191,22 @@
     ticket: Ticket,
 ) -> impl FnMut(u64) + Send + use<> {
     let (router, service) = (router.clone(), call.service.clone());
+    let idle_timeout = relay::idle_timeout(&call.route);
+    let mut latest = Instant::now();
     let event_tokens = service.engine.map_or(1, |size| size.event_tokens);
     let mut base = None;
     move |events| {
         // Events that earlier engines generated do not count as this engine's work.
         let start = *base.get_or_insert(events - 1);
         let generated = (events - start) * event_tokens;
-        router.with_pool(&service.name, |pool| pool.record_output(&engine, ticket, generated));
+        let now = Instant::now();
+        let resumed = now - std::mem::replace(&mut latest, now) >= idle_timeout;
+        router.with_pool(&service.name, |pool| {
+            pool.record_output(&engine, ticket, generated);
+            // The engine went on after a pause, for which it was avoided.
+            if resumed {
+                pool.record_outcome(now, &engine, Outcome::Succeeded);
+            }
+        });
     }
 }
--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -6,7 +6,9 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
-use super::{COMMAND_TIMEOUT, FAILED_RETRY_AFTER, jitter, send_detached, timeout_error};
+use super::{
+    COMMAND_TIMEOUT, EngineChoice, FAILED_RETRY_AFTER, jitter, send_detached, timeout_error,
+};
 use crate::call::Call;
 use crate::client::{self, SendError};
 use crate::deployment::EngineCommand;
@@ -65,20 +67,19 @@
 
 /// Waits for a slot and reserves it at the engine.
 ///
-/// `requeued` is true if the request had a slot before, and `last_engine` is the engine of that
-/// slot. A stream that is resumed tries it first.
+/// `requeued` is true if the request had a slot before.
 pub async fn acquire(
     router: &Arc<Router>,
     call: &Arc<Call>,
     requeued: bool,
     after: Option<&Position>,
-    last_engine: Option<&Arc<str>>,
+    choice: &EngineChoice,
 ) -> Result<SlotGuard, Refusal> {
     let mut request = placement_request(router, call, requeued, after);
-    let mut last_engine = last_engine.filter(|_| after.is_some());
+    let mut first = choice.first.as_ref().filter(|_| after.is_some());
     for _ in 0..MAX_RESERVE_ATTEMPTS {
         let preferred =
-            last_engine.take().and_then(|id| router.place_at(&call.service.name, id, request));
+            first.take().and_then(|id| router.place_at(&call.service.name, id, request));
         let placed = match preferred {
             Some(placed) => Ok(placed),
             None => router.place(&call.service.name, request).await,
@@ -86,6 +87,7 @@
         let Placement { ticket, engine } = placed.map_err(|retry| {
             Refusal::not_run(Cause::Busy).with_retry_after(retry_after(call, retry))
         })?;
+        let excluded = choice.excluded.as_ref() == Some(&engine.id);
         let mut slot = SlotGuard {
             router: router.clone(),
             call: call.clone(),
@@ -95,6 +97,9 @@
             start: Instant::now(),
             end: DecodeEnd::Cancelled,
         };
+        if excluded {
+            return Err(Refusal::not_run(Cause::Busy).with_retry_after(jitter(FAILED_RETRY_AFTER)));
+        }
         match reserve_slot(router, call, &slot.engine, &request).await {
             Ok(Some(reservation)) => {
                 slot.reservation = Some(reservation);
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -19,12 +19,13 @@
 use crate::deployment::{ResponseMeta, ResumeFrom, SendParams};
 use crate::events::Position;
 use crate::refusal::{Cause, Ran, Refusal};
-use crate::registry::Upstream;
-use crate::relay::{self, OpenStream, ResponseBody, ResumePolicy, SegmentFuture, Stream};
-use crate::retry::Denial;
+use crate::relay::{
+    self, OpenStream, PrepareFuture, ResponseBody, ResumePolicy, SegmentFuture, Stream, StreamError,
+};
+use crate::retry::{Denial, RetryPermit};
 use crate::router::Router;
 
-use send::SendOutcome;
+use send::{InFlight, SendOutcome};
 
 /// Maximum number of unreachable servers per request; each may cost the connect timeout.
 const MAX_UNREACHABLE: u32 = 4;
@@ -37,7 +38,7 @@
     call: &Arc<Call>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let mut state = RetryState::default();
-    match try_upstreams(router, call, &mut state, None).await? {
+    match try_upstreams(router, call, &mut state, None, None).await? {
         Reply::Buffered(response) => Ok(caller_response(router, response)),
         Reply::Stream(opened) => {
             let resumable = call.route.kind.may_run_again();
@@ -56,15 +57,20 @@
     let idle_timeout = relay::idle_timeout(&call.route);
     // Only one attempt to resume runs at a time.
     let state = Arc::new(Mutex::new(state));
-    let next = Box::new(move |position: Position| {
+    let prepare = Box::new(move |position: Position, cause: StreamError| {
         let (router, call, state) = (router.clone(), call.clone(), state.clone());
         let mut current = state.lock().unwrap_or_else(|error| error.into_inner()).clone();
-        if let Err(denial) = current.may_retry(&router, &call) {
-            relay::log_not_resumed(&call, &position, denial);
-            return None;
-        }
+        let next = match current.next_server(&router, &call) {
+            Ok(next) => next,
+            Err(denial) => {
+                relay::log_not_resumed(&call, &position, cause, denial.name());
+                let none: PrepareFuture = Box::pin(std::future::ready(None));
+                return none;
+            }
+        };
         let resuming: SegmentFuture = Box::pin(async move {
-            let opened = try_upstreams(&router, &call, &mut current, Some(&position)).await;
+            let after = Some(&position);
+            let opened = try_upstreams(&router, &call, &mut current, after, Some(next)).await;
             *state.lock().unwrap_or_else(|error| error.into_inner()) = current;
             relay::log_resumed(&call, &position, opened.as_ref().err());
             match opened {
@@ -72,9 +78,10 @@
                 Ok(Reply::Buffered(_)) | Err(_) => None,
             }
         });
-        Some(resuming)
+        let prepared: PrepareFuture = Box::pin(std::future::ready(Some(resuming)));
+        prepared
     });
-    ResumePolicy { idle_timeout, next }
+    ResumePolicy { idle_timeout, prepare }
 }
 
 /// Response of a server.
@@ -119,7 +126,7 @@
 impl RetryState {
     /// Whether another attempt is allowed. One that follows a delivered attempt draws on the
     /// service's retry budget.
-    fn may_retry(&self, router: &Router, call: &Call) -> Result<(), Denial> {
+    fn may_retry(&self, router: &Arc<Router>, call: &Call) -> Result<Option<RetryPermit>, Denial> {
         let now = Instant::now();
         let safe = self.ran == Ran::No || call.route.kind.may_run_again();
         if call.remaining(now).is_zero() {
@@ -127,18 +134,23 @@
         } else if self.unreachable >= MAX_UNREACHABLE {
             Err(Denial::Attempts)
         } else if self.delivered == 0 {
-            Ok(())
+            Ok(None)
         } else if !safe {
             Err(Denial::Route)
         } else if self.possible_runs >= call.route.max_attempts {
             Err(Denial::Attempts)
-        } else if router.take_retry(now, &call.service.name) {
-            Ok(())
         } else {
-            Err(Denial::Budget)
+            RetryPermit::take(router, call).map(Some)
         }
     }
 
+    /// Chooses the server for another attempt.
+    fn next_server(&self, router: &Arc<Router>, call: &Call) -> Result<Chosen, Denial> {
+        let permit = self.may_retry(router, call)?;
+        let server = choose_server(router, call, &self.tried).ok_or(Denial::NoUpstream)?;
+        Ok(Chosen { server, permit })
+    }
+
     fn record_run(&mut self) {
         self.ran = Ran::Maybe;
         self.delivered += 1;
@@ -146,16 +158,34 @@
     }
 }
 
+/// A server that is to receive a request.
+struct Chosen {
+    server: InFlight,
+    /// Retry that the request draws on, if any.
+    permit: Option<RetryPermit>,
+}
+
 /// Sends a request to one server after another until one responds.
+///
+/// `first` is the first one, if it has been chosen already.
 async fn try_upstreams(
     router: &Arc<Router>,
     call: &Arc<Call>,
     state: &mut RetryState,
     after: Option<&Position>,
+    first: Option<Chosen>,
 ) -> Result<Reply, Refusal> {
-    while let Some(upstream) = choose_upstream(router, call, &state.tried) {
-        state.tried.push(upstream.id.clone());
-        match send::send(router, call, &upstream, after).await {
+    let choose_first = || {
+        let server = choose_server(router, call, &state.tried)?;
+        Some(Chosen { server, permit: None })
+    };
+    let mut next = first.or_else(choose_first);
+    while let Some(Chosen { server, permit }) = next {
+        state.tried.push(server.upstream.id.clone());
+        if let Some(permit) = permit {
+            permit.spend();
+        }
+        match send::send(router, call, server, after).await {
             SendOutcome::Stream(opened) => {
                 state.record_run();
                 return Ok(Reply::Stream(opened));
@@ -172,10 +202,14 @@
             SendOutcome::Unsent => state.unreachable += 1,
             SendOutcome::Unknown => state.record_run(),
         }
-        if let Err(denial) = state.may_retry(router, call) {
-            log::info!("call: not retried attempt={} reason={}", call.meta.attempt, denial.name());
-            break;
-        }
+        next = match state.next_server(router, call) {
+            Ok(next) => Some(next),
+            Err(denial) => {
+                let attempt = &call.meta.attempt;
+                log::info!("call: not retried attempt={attempt} reason={}", denial.name());
+                None
+            }
+        };
     }
     if let Some(response) = state.last_failure.take() {
         return Ok(Reply::Buffered(response));
@@ -198,13 +232,13 @@
     }
 }
 
-fn choose_upstream(router: &Router, call: &Call, tried: &[Arc<str>]) -> Option<Arc<Upstream>> {
+fn choose_server(router: &Arc<Router>, call: &Call, tried: &[Arc<str>]) -> Option<InFlight> {
     let now = Instant::now();
     let zone = &router.settings.zone;
     let chosen = router.with_balancer(&call.service.name, |balancer| {
         balancer.choose(now, zone, tried, || rand::random_range(0.0..1.0))
     });
-    chosen.flatten()
+    Some(InFlight::new(router, call, chosen.flatten()?))
 }
 
 /// Whether a response can be trusted to answer the request.
--- a/crates/rosemarypitch-forward/src/plain/send.rs
+++ b/crates/rosemarypitch-forward/src/plain/send.rs
@@ -38,7 +38,7 @@
 pub async fn send(
     router: &Arc<Router>,
     call: &Arc<Call>,
-    upstream: &Upstream,
+    in_flight: InFlight,
     after: Option<&Position>,
 ) -> SendOutcome {
     let start = Instant::now();
@@ -48,12 +48,7 @@
     } else {
         remaining
     };
-    let in_flight = InFlight {
-        router: router.clone(),
-        service: call.service.name.clone(),
-        id: upstream.id.clone(),
-        outcome: None,
-    };
+    let upstream = &*in_flight.upstream.clone();
     let request = build_request(router, call, upstream, remaining, after);
     let received = tokio::time::timeout(timeout, receive(router, call, upstream, request)).await;
     let (outcome, detail) = match received {
@@ -138,7 +133,7 @@
             let on_end = move |end, events| {
                 log::info!(
                     "call: stream ended attempt={attempt} upstream={} end={end:?} events={events}",
-                    in_flight.id
+                    in_flight.upstream.id
                 );
                 match end {
                     StreamEnd::Complete => in_flight.finish(Outcome::Succeeded),
@@ -206,14 +201,21 @@
 }
 
 /// A request in flight at a server; reports its end to the balancer on drop.
-struct InFlight {
+pub struct InFlight {
     router: Arc<Router>,
     service: Arc<str>,
-    id: Arc<str>,
+    /// The server, at which the balancer has counted the request.
+    pub upstream: Arc<Upstream>,
     outcome: Option<Outcome>,
 }
 
 impl InFlight {
+    /// Takes over a request from the balancer.
+    pub fn new(router: &Arc<Router>, call: &Call, upstream: Arc<Upstream>) -> Self {
+        let service = call.service.name.clone();
+        Self { router: router.clone(), service, upstream, outcome: None }
+    }
+
     fn finish(mut self, outcome: Outcome) {
         self.outcome = Some(outcome);
     }
@@ -222,8 +224,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now = Instant::now();
-        let outcome = self.outcome;
-        self.router
-            .with_balancer(&self.service, |balancer| balancer.finish(now, &self.id, outcome));
+        let (id, outcome) = (&self.upstream.id, self.outcome);
+        self.router.with_balancer(&self.service, |balancer| balancer.finish(now, id, outcome));
     }
 }
--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -3,10 +3,14 @@
 //! A [`Stream`] forwards an upstream's events as they arrive. If the upstream closes the
 //! stream early or becomes idle, and the route allows it, another upstream resumes after the
 //! last complete event. The caller sees a single response.
+//!
+//! An idle upstream may only have paused. Its connection is kept until another upstream is
+//! ready to resume the stream; if none is, or the idle one goes on first, the stream stays
+//! where it is.
 
 use std::future::Future;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,14 +25,18 @@
 use crate::config::Route;
 use crate::events::{EventFramer, Position};
 use crate::refusal::Refusal;
-use crate::retry::Denial;
 use crate::router::Router;
 
-/// Idle timeout in multiples of the route's maximum gap between events. Callers give up
-/// after eight gaps, which leaves time to resume at another upstream.
-const IDLE_GAPS: u32 = 3;
-/// Idle timeout on routes without a maximum gap; callers give up after twice this time.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Lower bound on the time after which callers abandon a silent stream.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+/// Time after which callers abandon a silent stream, in multiples of the route's target.
+const PATIENCE_TARGETS: u32 = 4;
+/// The same in multiples of the route's maximum gap between events.
+const PATIENCE_GAPS: u32 = 8;
+/// Lower bound of the idle timeout; working upstreams may pause for about a second.
+const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Upper bound of the idle timeout, longer than such pauses.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Reason why a response body ends early; hyper then closes the connection without the final
 /// chunk.
@@ -140,17 +148,25 @@
 /// Future of the next segment of a stream; none if no upstream can resume it.
 pub type SegmentFuture = Pin<Box<dyn Future<Output = Option<Segment>> + Send>>;
 
+/// Future of an upstream that is ready to resume a stream, as the future that resumes it there;
+/// none if there is no such upstream. The upstream gets no request before that one is polled.
+pub type PrepareFuture = Pin<Box<dyn Future<Output = Option<SegmentFuture>> + Send>>;
+
 /// When and how a stream is resumed at another upstream.
 pub struct ResumePolicy {
-    /// Time without a complete event after which the upstream is considered failed.
+    /// Time without a complete event after which another upstream is prepared.
     pub idle_timeout: Duration,
-    /// Starts to resume after a position; none if no further attempt is allowed.
-    pub next: Box<dyn FnMut(Position) -> Option<SegmentFuture> + Send>,
+    /// Prepares another upstream to resume after a position, after a failure.
+    pub prepare: Box<dyn FnMut(Position, StreamError) -> PrepareFuture + Send>,
 }
 
-/// Returns the time without a complete event after which a stream's upstream is considered failed.
+/// Returns the time without an event after which another upstream is to take over.
+///
+/// About half of the time for which callers wait is left for that.
 pub fn idle_timeout(route: &Route) -> Duration {
-    route.gap.map_or(DEFAULT_IDLE_TIMEOUT, |gap| gap * IDLE_GAPS)
+    let gaps = route.gap.unwrap_or_default() * PATIENCE_GAPS;
+    let patience = gaps.max(route.target * PATIENCE_TARGETS).max(MIN_PATIENCE);
+    (patience / 2).clamp(MIN_IDLE_TIMEOUT, MAX_IDLE_TIMEOUT)
 }
 
 /// Logs whether an interrupted stream could be resumed.
@@ -165,13 +181,12 @@
 }
 
 /// Logs why an interrupted stream is not resumed.
-pub fn log_not_resumed(call: &Call, position: &Position, denial: Denial) {
+pub fn log_not_resumed(call: &Call, position: &Position, cause: StreamError, reason: &str) {
     log::info!(
-        "call: stream not resumed attempt={} after={} events={} reason={}",
+        "call: stream not resumed attempt={} after={} events={} cause={cause:?} reason={reason}",
         call.meta.attempt,
         position.last_id.as_deref().unwrap_or("-"),
         position.events,
-        denial.name(),
     );
 }
 
@@ -185,7 +200,10 @@
 }
 
 enum State {
-    Reading(Segment),
+    /// Reading a segment; another upstream is being prepared while that one is silent.
+    Reading(Segment, Option<PrepareFuture>),
+    /// The segment broke, and another upstream is being prepared.
+    Preparing(PrepareFuture, StreamError),
     Resuming(SegmentFuture, StreamError),
     Ended,
 }
@@ -200,7 +218,7 @@
         let idle_timer =
             policy.as_ref().map(|policy| Box::pin(tokio::time::sleep(policy.idle_timeout)));
         Self {
-            state: State::Reading(segment),
+            state: State::Reading(segment, None),
             events: EventFramer::new(policy.is_some()),
             policy,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
@@ -211,16 +229,44 @@
 
     /// Starts to resume at another upstream, or fails the body if that is not possible.
     fn interrupt(&mut self, cause: StreamError) -> Result<(), StreamError> {
-        if let State::Reading(segment) = &mut self.state {
+        let standby = match &mut self.state {
+            State::Reading(_, standby) => standby.take(),
+            _ => None,
+        };
+        self.close_segment(cause);
+        let policy = self.policy.as_mut().filter(|_| self.events.is_resumable()).ok_or(cause)?;
+        let prepare = || (policy.prepare)(self.events.position().clone(), cause);
+        self.state = State::Preparing(standby.unwrap_or_else(prepare), cause);
+        Ok(())
+    }
+
+    /// Closes the connection, so that the upstream stops before another one resumes.
+    fn close_segment(&mut self, cause: StreamError) {
+        if let State::Reading(segment, _) = &mut self.state {
             segment.end(StreamEnd::Broken(cause));
         }
-        // Closes the connection, so that the upstream stops before another one resumes.
         self.state = State::Ended;
         self.events.discard_partial();
-        let policy = self.policy.as_mut().filter(|_| self.events.is_resumable());
-        let next = policy.and_then(|policy| (policy.next)(self.events.position().clone()));
-        self.state = State::Resuming(next.ok_or(cause)?, cause);
-        Ok(())
+    }
+
+    /// Prepares another upstream while the current one is silent.
+    fn poll_standby(&mut self, context: &mut Context<'_>) -> Poll<SegmentFuture> {
+        let State::Reading(_, standby) = &mut self.state else { return Poll::Pending };
+        let (Some(timer), Some(policy)) = (&mut self.idle_timer, &mut self.policy) else {
+            return Poll::Pending;
+        };
+        loop {
+            if let Some(preparing) = standby {
+                if let Some(next) = ready!(preparing.as_mut().poll(context)) {
+                    return Poll::Ready(next);
+                }
+                *standby = None;
+                timer.as_mut().reset(Instant::now() + policy.idle_timeout);
+            }
+            ready!(timer.as_mut().poll(context));
+            let position = self.events.position().clone();
+            *standby = Some((policy.prepare)(position, StreamError::Silent));
+        }
     }
 
     fn reset_idle_timer(&mut self) {
@@ -240,7 +286,8 @@
         let events = self.events.position().events;
         if events > before {
             self.reset_idle_timer();
-            if let State::Reading(segment) = &mut self.state {
+            if let State::Reading(segment, standby) = &mut self.state {
+                *standby = None;
                 segment.record_events(events);
             }
         }
@@ -249,17 +296,13 @@
 
     /// Processes the regular end of the stream and returns the rest to forward.
     fn finish(&mut self) -> Option<Frame<Bytes>> {
-        if let State::Reading(segment) = &mut self.state {
+        if let State::Reading(segment, _) = &mut self.state {
             segment.end(StreamEnd::Complete);
         }
         self.state = State::Ended;
         let rest = self.events.finish();
         (!rest.is_empty()).then(|| Frame::data(rest))
     }
-
-    fn is_idle(&mut self, context: &mut Context<'_>) -> bool {
-        self.idle_timer.as_mut().is_some_and(|sleep| sleep.as_mut().poll(context).is_ready())
-    }
 }
 
 impl Body for Stream {
@@ -272,33 +315,44 @@
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
         let stream = &mut *self;
         if stream.deadline.as_mut().poll(context).is_ready() {
-            if let State::Reading(segment) = &mut stream.state {
-                segment.end(StreamEnd::Broken(StreamError::Timeout));
-            }
-            stream.state = State::Ended;
+            stream.close_segment(StreamError::Timeout);
             return Poll::Ready(Some(Err(StreamError::Timeout)));
         }
         loop {
             let cause = match &mut stream.state {
                 State::Ended => return Poll::Ready(None),
-                State::Reading(_) if stream.events.is_overlong() => {
+                State::Reading(..) if stream.events.is_overlong() => {
                     log::warn!("call: upstream sent an event that is too long");
                     StreamError::Upstream
                 }
-                State::Reading(segment) => match Pin::new(&mut segment.body).poll_frame(context) {
+                State::Reading(segment, _) => match Pin::new(&mut segment.body).poll_frame(context)
+                {
                     Poll::Ready(Some(Ok(frame))) => match stream.accept(frame) {
                         Some(frame) => return Poll::Ready(Some(Ok(frame))),
                         None => continue,
                     },
                     Poll::Ready(None) => return Poll::Ready(stream.finish().map(Ok)),
                     Poll::Ready(Some(Err(_))) => StreamError::Upstream,
-                    Poll::Pending if stream.is_idle(context) => StreamError::Silent,
-                    Poll::Pending => return Poll::Pending,
+                    Poll::Pending => {
+                        let next = ready!(stream.poll_standby(context));
+                        stream.close_segment(StreamError::Silent);
+                        stream.state = State::Resuming(next, StreamError::Silent);
+                        continue;
+                    }
                 },
+                State::Preparing(preparing, cause) => {
+                    let cause = *cause;
+                    let Some(next) = ready!(preparing.as_mut().poll(context)) else {
+                        stream.state = State::Ended;
+                        return Poll::Ready(Some(Err(cause)));
+                    };
+                    stream.state = State::Resuming(next, cause);
+                    continue;
+                }
                 State::Resuming(resuming, cause) => match resuming.as_mut().poll(context) {
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(Some(segment)) => {
-                        stream.state = State::Reading(segment);
+                        stream.state = State::Reading(segment, None);
                         stream.reset_idle_timer();
                         continue;
                     }
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -416,6 +416,11 @@
         taken
     }
 
+    /// Returns a retry that was taken and not made.
+    pub fn put_back_retry(&self, taken: Instant, service: &Arc<str>) {
+        self.with_budget(service, |budget| budget.put_back(taken));
+    }
+
     fn with_budget<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let rules = self.limits().repeats;
         let mut budgets = lock(&self.budgets);
