Refuse requests without a response before a stopping host ends

What callers saw: at the end of the grace period the process ended with requests in a queue, at an upstream or still being read, and their connections closed without a word. A queued request that could not be served in time waited for that cut. Cause: shut_down only waited for open connections; nothing told the requests' tasks that the process was about to end, and the queue's forecast did not know when the host stops. Fix: 400 ms before the end a further phase of the shutdown refuses every request without a response head: 503 if no upstream may have run it, else 502.

--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -7,6 +7,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,7 +22,7 @@
 use crate::plain;
 use crate::refusal::{Cause, Ran, Refusal};
 use crate::relay::{self, ResponseBody};
-use crate::router::Router;
+use crate::router::{Router, StopPhase};
 
 /// `Retry-After` of refusals for which there is no better estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -44,9 +45,21 @@
     pub start: Instant,
     /// Time by which the caller must have its complete response.
     pub deadline: Instant,
+    /// Whether an upstream may have run the request.
+    may_have_run: AtomicBool,
 }
 
 impl Call {
+    /// Records whether an upstream may have run the request.
+    pub fn set_ran(&self, ran: Ran) {
+        self.may_have_run.store(ran == Ran::Maybe, Ordering::Relaxed);
+    }
+
+    /// Whether an upstream may have run the request.
+    pub fn ran(&self) -> Ran {
+        if self.may_have_run.load(Ordering::Relaxed) { Ran::Maybe } else { Ran::No }
+    }
+
     /// Time left until the deadline; zero once it has passed.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
@@ -72,14 +85,25 @@
     let (head, mut body) = request.into_parts();
     let expects = head.headers.contains_key(header::EXPECT);
     let (attempt, admitted) = match router.dialect.parse_request(&head) {
-        Ok(meta) => (meta.attempt.clone(), admit(&router, start, head, &mut body, meta).await),
+        Ok(meta) => {
+            let attempt = meta.attempt.clone();
+            let admitted = tokio::select! {
+                biased;
+                admitted = admit(&router, start, head, &mut body, meta) => admitted,
+                () = router.reached(StopPhase::Cutting) => Err(stopping(Ran::No)),
+            };
+            (attempt, admitted)
+        }
         Err(error) => {
             log::info!("call: malformed path={} fault=\"{error}\"", head.uri.path());
             (Arc::from(""), Err(Refusal::not_run(Cause::Malformed)))
         }
     };
     Ok(match admitted {
-        Ok(call) => respond(&router, call).await,
+        Ok(call) => {
+            let open = router.open_calls.open(attempt, start);
+            respond(&router, call).await.map(|body| open.attach(body))
+        }
         Err(refusal) => refuse_unadmitted(&router, start, &attempt, &refusal, body, expects).await,
     })
 }
@@ -98,7 +122,12 @@
     let config = router.config();
     let limit = config.as_ref().map_or(CallerBounds::default(), |config| config.bounds).body_bytes;
     let read = body.is_end_stream()
-        || !ends_connection(refusal.cause) && !expects && body::discard(&mut body, limit).await;
+        || !ends_connection(refusal.cause)
+            && !expects
+            && tokio::select! {
+                read = body::discard(&mut body, limit) => read,
+                () = router.reached(StopPhase::Cutting) => false,
+            };
     log::info!(
         "call: refused attempt={attempt} cause={} ran=no version={} body={} age_ms={}",
         refusal.cause.name(),
@@ -117,13 +146,17 @@
 
 /// Whether no further request is read from the connection of a refused one.
 fn ends_connection(cause: Cause) -> bool {
-    matches!(cause, Cause::SlowCaller | Cause::TooLarge | Cause::Malformed)
+    matches!(cause, Cause::SlowCaller | Cause::TooLarge | Cause::Malformed | Cause::Stopping)
 }
 
 async fn respond(router: &Arc<Router>, call: Call) -> Response<ResponseBody> {
     let call = Arc::new(call);
     let result = match charge_quota(router, &call) {
-        Ok(()) => run(router, &call).await,
+        Ok(()) => tokio::select! {
+            biased;
+            result = run(router, &call) => result,
+            () = router.reached(StopPhase::Cutting) => Err(stopping(call.ran())),
+        },
         Err(refusal) => Err(refusal),
     };
     let now = Instant::now();
@@ -187,7 +220,8 @@
     let service = choose_service(&config, &route).ok_or_else(not_configured)?;
     let timeout = meta.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = start + timeout;
-    Ok(Call { head, body, meta, route, service, customer, start, deadline })
+    let may_have_run = AtomicBool::new(false);
+    Ok(Call { head, body, meta, route, service, customer, start, deadline, may_have_run })
 }
 
 /// Authorizes a request again after it has waited in a queue.
@@ -223,6 +257,14 @@
     Refusal::not_run(Cause::NotConfigured).with_retry_after(DEFAULT_RETRY_AFTER)
 }
 
+/// Refusal of a request that has no response when the process ends.
+fn stopping(ran: Ran) -> Refusal {
+    match ran {
+        Ran::No => Refusal::not_run(Cause::Stopping).with_retry_after(DEFAULT_RETRY_AFTER),
+        Ran::Maybe => Refusal::new(Cause::Stopping, ran),
+    }
+}
+
 /// Refuses requests whose body length or host is ambiguous.
 fn check_framing(head: &request::Parts) -> Result<(), Refusal> {
     let headers = &head.headers;
--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -173,6 +173,7 @@
             Err(failure) => failure,
         };
         let refusal = state.record(failure.refusal);
+        call.set_ran(state.ran);
         if !state.may_retry(router, call, failure.progress) {
             return Err(refusal);
         }
--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -84,6 +84,11 @@
             None => router.place(&call.service.name, request).await,
         };
         let Placement { ticket, engine } = placed.map_err(|retry| {
+            if router.is_stopping() {
+                // The queue of this host says nothing about the others.
+                let retry = jitter(FAILED_RETRY_AFTER);
+                return Refusal::not_run(Cause::Stopping).with_retry_after(retry);
+            }
             Refusal::not_run(Cause::Busy).with_retry_after(retry_after(call, retry))
         })?;
         let mut slot = SlotGuard {
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod layout;
 pub mod memory;
 pub mod metrics;
+pub mod open_calls;
 pub mod outsiders;
 pub mod peer_table;
 pub mod plain;
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -16,7 +16,7 @@
 
 use crate::call::Call;
 use crate::config::RouteKind;
-use crate::deployment::{ResponseMeta, ResumeFrom, SendParams};
+use crate::deployment::{ResponseMeta, ResumeFrom, SendParams, ServingStage};
 use crate::events::Position;
 use crate::refusal::{Cause, Ran, Refusal};
 use crate::registry::Upstream;
@@ -162,6 +162,7 @@
             SendOutcome::Unsent => state.unreachable += 1,
             SendOutcome::Unknown => state.record_run(),
         }
+        call.set_ran(state.ran);
         if !state.may_retry(router, call) {
             break;
         }
@@ -234,6 +235,9 @@
 
 /// Builds the request to an upstream.
 pub fn upstream_request(router: &Router, call: &Call, params: &SendParams<'_>) -> Request<Bytes> {
+    if matches!(params.stage, ServingStage::Run { .. }) {
+        call.set_ran(Ran::Maybe);
+    }
     let mut request = Request::new(call.body.clone());
     *request.method_mut() = call.head.method.clone();
     *request.uri_mut() = call.head.uri.clone();
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -122,6 +122,8 @@
     row_engines: Vec<Arc<str>>,
     /// Engines at which hosts of other rows have streams.
     remote_engines: Vec<Arc<str>>,
+    /// When this host stops; none while it runs.
+    end: Option<Instant>,
 }
 
 /// Streams by engine.
@@ -146,6 +148,7 @@
             in_use: HashSet::new(),
             row_engines: Vec::new(),
             remote_engines: Vec::new(),
+            end: None,
         }
     }
 
@@ -175,6 +178,11 @@
         }
     }
 
+    /// Sets when this host stops; requests that it could not finish by then are refused.
+    pub fn set_end(&mut self, end: Instant) {
+        self.end = Some(end);
+    }
+
     /// Sets the engines that are assigned to this host's row.
     pub fn set_preferred(&mut self, preferred: Option<HashSet<Arc<str>>>) {
         self.preferred = preferred;
@@ -322,17 +330,22 @@
         Some(engine.upstream.clone())
     }
 
-    /// Refuses the requests that are not forecast to be placed before they expire.
+    /// Refuses the requests that are not forecast to be placed before they expire, or to end
+    /// before this host stops.
     fn refuse(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
         let drain = self.drain_rate();
         let spare = (drain - self.demand.rate(now)).max(drain * MIN_LATE_FRACTION);
+        let left = self.end.map(|end| end.saturating_duration_since(now).as_secs_f64());
+        let is_cut = |request: &SlotRequest, ahead: f64| {
+            left.is_some_and(|left| ahead / drain + self.run_time(request) >= left)
+        };
         let mut ahead = 0.0;
         let mut refused = Vec::new();
         for request in &self.timely {
             let time = request.due.saturating_duration_since(now).as_secs_f64();
             let late = ahead / drain > time * self.tuning.forecast_slack;
             let timeout = request.expires.saturating_duration_since(now).as_secs_f64();
-            if late && ahead / spare > timeout {
+            if is_cut(request, ahead) || late && ahead / spare > timeout {
                 refused.push(request.ticket);
             } else {
                 ahead += request.mean_memory() as f64;
@@ -340,7 +353,7 @@
         }
         for request in &self.late {
             let timeout = request.expires.saturating_duration_since(now).as_secs_f64();
-            if timeout <= 0.0 || ahead / spare > timeout {
+            if is_cut(request, ahead) || timeout <= 0.0 || ahead / spare > timeout {
                 refused.push(request.ticket);
             } else {
                 ahead += request.mean_memory() as f64;
@@ -366,6 +379,12 @@
         (memory / self.slot_time.as_secs_f64().max(0.001)).max(1.0)
     }
 
+    /// Forecast time that a request occupies its slot, in seconds; no more than the average.
+    fn run_time(&self, request: &SlotRequest) -> f64 {
+        let mean = self.mean_guess.unwrap_or(0.0).max(1.0);
+        self.slot_time.as_secs_f64() * (request.output as f64 / mean).min(1.0)
+    }
+
     /// Memory of one engine that requests may occupy, in tokens.
     fn usable_memory(&self) -> f64 {
         self.size.tokens as f64 * self.tuning.memory_part
--- a/crates/rosemarypitch-forward/src/refusal.rs
+++ b/crates/rosemarypitch-forward/src/refusal.rs
@@ -38,6 +38,8 @@
     UpstreamFailed,
     /// The request timed out.
     Timeout,
+    /// This host stops before it could serve the request.
+    Stopping,
 }
 
 impl Cause {
@@ -55,6 +57,7 @@
             Self::NoUpstream => "no_upstream",
             Self::UpstreamFailed => "upstream_failed",
             Self::Timeout => "timeout",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -22,6 +22,7 @@
 use crate::deployment::{Dialect, Directory, Update, Updates};
 use crate::layout::Layout;
 use crate::metrics::Metrics;
+use crate::open_calls::OpenCalls;
 use crate::pool::Pool;
 use crate::quota::{self, Quota, QuotaRules, Share};
 use crate::registry::{Upstream, UpstreamRegistry};
@@ -86,6 +87,8 @@
     pub metrics: Metrics,
     /// Progress of the shutdown.
     pub stop_phase: watch::Sender<StopPhase>,
+    /// Requests that have no complete response yet.
+    pub open_calls: Arc<OpenCalls>,
     config: RwLock<Option<Arc<ConfigSnapshot>>>,
     current_at: Mutex<Option<Instant>>,
     /// Revision of the store up to which this host has followed it.
@@ -120,6 +123,8 @@
     Leaving,
     /// It accepts no more connections, and finishes its requests.
     Finishing,
+    /// It refuses the requests that have no response yet, before the process ends.
+    Cutting,
 }
 
 impl Router {
@@ -138,6 +143,7 @@
             directory,
             metrics: Metrics::new(),
             stop_phase: watch::channel(StopPhase::Running).0,
+            open_calls: Arc::default(),
             config: RwLock::new(None),
             current_at: Mutex::new(None),
             revision: AtomicU64::new(0),
@@ -304,7 +310,25 @@
 
     /// Whether the host is ready for callers and not stopping.
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed) && *self.stop_phase.borrow() == StopPhase::Running
+        self.ready.load(Ordering::Relaxed) && !self.is_stopping()
+    }
+
+    /// Waits until the shutdown has reached a phase.
+    pub async fn reached(&self, phase: StopPhase) {
+        // The sender lives as long as the router, so this cannot fail.
+        let _ = self.stop_phase.subscribe().wait_for(|current| *current >= phase).await;
+    }
+
+    /// Starts a graceful shutdown, in which requests have to end by `end`.
+    pub fn stop_by(&self, end: Instant) {
+        self.stop_phase.send_replace(StopPhase::Leaving);
+        self.for_each_pool(|pool| pool.set_end(end));
+        self.dispatch(Instant::now());
+    }
+
+    /// Whether the host is stopping.
+    pub fn is_stopping(&self) -> bool {
+        *self.stop_phase.borrow() != StopPhase::Running
     }
 
     /// Marks the host as ready for callers once it has a configuration and its limits have
--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -30,9 +30,12 @@
 /// Time during which a stopping host still accepts callers: two readiness probes of the load
 /// balancer, one second apart, and some slack.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
+/// Time between the refusal of the requests that have no response yet and the end of the grace
+/// period.
+const CUT_MARGIN: Duration = Duration::from_millis(400);
 /// Time between the cut of the remaining streams and the end of the grace period, in which
 /// callers are notified of the cut.
-const CUT_MARGIN: Duration = Duration::from_millis(400);
+const EXIT_MARGIN: Duration = Duration::from_millis(150);
 /// Time between checks for open connections, and after a failed accept.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Smallest read buffer that hyper accepts.
@@ -105,17 +108,31 @@
 }
 
 /// Leaves the load balancer, then waits for open connections within the grace period.
-async fn shut_down(router: &Router, open: &AtomicUsize) {
-    let grace = router.limits().grace;
-    let end = Instant::now() + grace.saturating_sub(CUT_MARGIN);
+pub async fn shut_down(router: &Router, open: &AtomicUsize) {
+    let (start, grace) = (Instant::now(), router.limits().grace);
+    let cut = start + grace.saturating_sub(CUT_MARGIN);
     log::info!("server: stopping open={}", open.load(Ordering::Relaxed));
-    router.stop_phase.send_replace(StopPhase::Leaving);
+    router.stop_by(cut);
     tokio::time::sleep(DRAIN_NOTICE.min(grace / 2)).await;
     router.stop_phase.send_replace(StopPhase::Finishing);
+    wait_closed(open, cut).await;
+    if open.load(Ordering::Relaxed) > 0 {
+        router.stop_phase.send_replace(StopPhase::Cutting);
+        wait_closed(open, start + grace.saturating_sub(EXIT_MARGIN)).await;
+    }
+    router.open_calls.log_cut(Instant::now());
+    log::info!(
+        "server: stopped cut={} requests={}",
+        open.load(Ordering::Relaxed),
+        router.open_calls.count(),
+    );
+}
+
+/// Waits until no connection is open, or until `end`.
+async fn wait_closed(open: &AtomicUsize, end: Instant) {
     while open.load(Ordering::Relaxed) > 0 && Instant::now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    log::info!("server: stopped cut={}", open.load(Ordering::Relaxed));
 }
 
 async fn listen(part: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
@@ -125,11 +142,10 @@
 
 /// Accepts callers until the shutdown's last phase; `open` counts their connections.
 pub async fn accept(router: Arc<Router>, listener: TcpListener, open: Arc<AtomicUsize>) {
-    let mut stopping = router.stop_phase.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopping.wait_for(|phase| *phase == StopPhase::Finishing) => return,
+            () = router.reached(StopPhase::Finishing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -158,16 +174,11 @@
         .max_buf_size(bounds.header_bytes.max(MIN_HEADER_BYTES))
         // hyper counts the idle time before a request towards the timeout of its headers.
         .header_read_timeout(bounds.idle_time.max(bounds.header_time) + IDLE_SLACK);
-    let mut stopping = router.stop_phase.subscribe();
-    let service = service_fn(move |request| answer(router.clone(), request));
+    let service = service_fn(|request| answer(router.clone(), request));
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let finishing = async {
-        // The sender lives as long as the router, so this cannot fail.
-        let _ = stopping.wait_for(|phase| *phase == StopPhase::Finishing).await;
-    };
     let ended = tokio::select! {
         result = connection.as_mut() => Some(result),
-        () = finishing => None,
+        () = router.reached(StopPhase::Finishing) => None,
     };
     let result = match ended {
         Some(result) => result,
@@ -185,9 +196,9 @@
     router: Arc<Router>,
     request: Request<Incoming>,
 ) -> Result<Response<crate::relay::ResponseBody>, Infallible> {
-    let leaving = *router.stop_phase.borrow() != StopPhase::Running;
+    let leaving = router.is_stopping();
     let mut response = call::handle(router.clone(), request).await?;
-    if leaving || *router.stop_phase.borrow() != StopPhase::Running {
+    if leaving || router.is_stopping() {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(http::header::CONNECTION, close);
     }
