Close idle connections by the idle time in force

What callers saw: after a configuration had raised idleTimeoutMs, connections accepted before were closed while their callers still counted on them. Cause: serve_caller gave hyper one timer for idle time and request head, whose length was fixed when the connection was accepted. Fix: a connection has its own file, which follows whether it is idle, receives a head or serves a request. An idle one is closed gracefully once the limit in force then and the slack have passed; a head is bounded by headerTimeoutMs and the slack from its first byte, and refused with 408 (before: closed without a word, after the idle time).

--- a/crates/rosemarypitch-forward/src/body.rs
+++ b/crates/rosemarypitch-forward/src/body.rs
@@ -1,4 +1,4 @@
-//! Bodies of callers' requests: reading within bounds, and discarding.
+//! Bodies of callers' requests, which are read within bounds or discarded, and of responses.
 //!
 //! A connection that is closed while bytes of a request are unread is reset, and a refusal that
 //! was sent before may never arrive. The body of a refused request is therefore read first. If
@@ -6,15 +6,17 @@
 //! for a bounded time.
 
 use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::oneshot;
 
 use crate::refusal::{Cause, Refusal};
-use crate::relay::ResponseBody;
+use crate::relay::{ResponseBody, StreamError};
 
 /// Timeout for reading a body; callers usually send the body together with the head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -83,3 +85,33 @@
     };
     Full::new(Bytes::new()).map_err(attach).boxed_unsync()
 }
+
+/// Drops `guard` together with a response body.
+pub fn with_guard(body: ResponseBody, guard: impl Send + Unpin + 'static) -> ResponseBody {
+    GuardedBody { body, _guard: guard }.boxed_unsync()
+}
+
+struct GuardedBody<G> {
+    body: ResponseBody,
+    _guard: G,
+}
+
+impl<G: Unpin> Body for GuardedBody<G> {
+    type Data = Bytes;
+    type Error = StreamError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/rosemarypitch-forward/src/connection.rs
@@ -0,0 +1,241 @@
+//! One connection of a caller.
+//!
+//! hyper bounds the idle time and the time of a request head with a single timer, whose length
+//! is fixed when the connection is accepted. Here both are bounded separately, by the
+//! configuration that is in force when the time is over.
+
+use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::time::Instant;
+
+use crate::body;
+use crate::call;
+use crate::config::CallerBounds;
+use crate::relay::ResponseBody;
+use crate::router::{Router, StopPhase};
+
+/// Smallest read buffer that hyper accepts.
+const MIN_HEADER_BYTES: usize = 8 << 10;
+/// Time beyond the limits promised to callers, so that bytes in flight at their end are still
+/// read.
+const LIMIT_SLACK: Duration = Duration::from_millis(1_500);
+/// Timeout for sending the refusal of a slow request head.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Refusal of a request whose head is too slow.
+const SLOW_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+/// Serves the requests of one connection until it ends.
+pub async fn serve<S>(router: Arc<Router>, stream: S)
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let monitor = Monitor::new();
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(bounds(&router).header_bytes.max(MIN_HEADER_BYTES));
+    let service = service_fn(|request| answer(router.clone(), monitor.clone(), request));
+    let io = TokioIo::new(MonitoredStream { stream, monitor: monitor.clone() });
+    let mut connection = builder.serve_connection(io, service);
+    let mut closing = false;
+    let result = loop {
+        let activity = monitor.activity();
+        let end = if closing { None } else { limit(&router, activity) };
+        let mut change = monitor.change(activity);
+        tokio::select! {
+            // The connection comes first, so that bytes that have arrived are read.
+            biased;
+            result = &mut connection => break result,
+            () = &mut change => {}
+            () = sleep_until(end) => match limit(&router, activity) {
+                // The configuration has changed.
+                Some(end) if end > Instant::now() => {}
+                Some(_) if matches!(activity, Activity::Receiving(_)) => {
+                    let io = connection.into_parts().io.into_inner();
+                    return refuse_slow_head(io).await;
+                }
+                Some(_) | None => {
+                    closing = true;
+                    Pin::new(&mut connection).graceful_shutdown();
+                }
+            },
+            () = router.reached(StopPhase::Finishing), if !closing => {
+                closing = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("server: connection ended: {error}");
+    }
+}
+
+async fn answer(
+    router: Arc<Router>,
+    monitor: Monitor,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Infallible> {
+    monitor.set(Activity::Serving);
+    let leaving = router.is_stopping();
+    let mut response = call::handle(router.clone(), request).await?;
+    if leaving || router.is_stopping() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response.map(|body| body::with_guard(body, ServingGuard(monitor))))
+}
+
+/// Time at which the current activity of a connection has lasted too long.
+fn limit(router: &Router, activity: Activity) -> Option<Instant> {
+    let bounds = bounds(router);
+    match activity {
+        Activity::Idle(start) => Some(start + bounds.idle_time + LIMIT_SLACK),
+        Activity::Receiving(start) => Some(start + bounds.header_time + LIMIT_SLACK),
+        Activity::Serving => None,
+    }
+}
+
+fn bounds(router: &Router) -> CallerBounds {
+    router.config().map(|config| config.bounds).unwrap_or_default()
+}
+
+async fn sleep_until(end: Option<Instant>) {
+    match end {
+        Some(end) => tokio::time::sleep_until(end).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn refuse_slow_head(mut stream: impl AsyncWrite + Unpin) {
+    let send = async {
+        stream.write_all(SLOW_HEAD_RESPONSE).await?;
+        stream.shutdown().await
+    };
+    let sent = match tokio::time::timeout(REFUSAL_TIMEOUT, send).await {
+        Ok(Ok(())) => "sent".to_owned(),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "not sent in time".to_owned(),
+    };
+    log::info!("server: request head too slow status=408 refusal=\"{sent}\"");
+}
+
+/// What happens on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Activity {
+    /// Nothing, since this time.
+    Idle(Instant),
+    /// The head of a request has been arriving since this time.
+    Receiving(Instant),
+    /// A request is being answered.
+    Serving,
+}
+
+/// Current activity of a connection.
+#[derive(Clone, Debug)]
+struct Monitor(Arc<Mutex<Activity>>);
+
+impl Monitor {
+    fn new() -> Self {
+        Self(Arc::new(Mutex::new(Activity::Idle(Instant::now()))))
+    }
+
+    fn activity(&self) -> Activity {
+        *self.lock()
+    }
+
+    fn set(&self, activity: Activity) {
+        *self.lock() = activity;
+    }
+
+    fn record_bytes(&self) {
+        let mut activity = self.lock();
+        if matches!(*activity, Activity::Idle(_)) {
+            *activity = Activity::Receiving(Instant::now());
+        }
+    }
+
+    /// Completes once the activity is no longer `old`. It has to be polled after the connection,
+    /// in the same task, since only the connection changes the activity.
+    fn change(&self, old: Activity) -> impl Future<Output = ()> + Unpin + use<> {
+        let monitor = self.clone();
+        std::future::poll_fn(move |_| {
+            if monitor.activity() == old { Poll::Pending } else { Poll::Ready(()) }
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Activity> {
+        self.0.lock().unwrap_or_else(|error| error.into_inner())
+    }
+}
+
+/// Marks a connection as idle again on drop.
+struct ServingGuard(Monitor);
+
+impl Drop for ServingGuard {
+    fn drop(&mut self) {
+        self.0.set(Activity::Idle(Instant::now()));
+    }
+}
+
+/// A stream that records when bytes are received.
+struct MonitoredStream<S> {
+    stream: S,
+    monitor: Monitor,
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for MonitoredStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.monitor.record_bytes();
+        }
+        result
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for MonitoredStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod call;
 pub mod client;
 pub mod config;
+pub mod connection;
 pub mod control;
 pub mod counters;
 pub mod deployment;
--- a/crates/rosemarypitch-forward/src/open_calls.rs
+++ b/crates/rosemarypitch-forward/src/open_calls.rs
@@ -1,16 +1,12 @@
 //! Requests of callers that have no complete response yet.
 
 use std::collections::HashMap;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::task::{Context, Poll};
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, SizeHint};
 use tokio::time::Instant;
 
-use crate::relay::{ResponseBody, StreamError};
+use crate::body;
+use crate::relay::ResponseBody;
 
 /// Largest number of requests that are logged by attempt when they are cut.
 const MAX_LOGGED_CUTS: usize = 100;
@@ -64,7 +60,7 @@
 impl OpenCall {
     /// Keeps the request open until the body of its response is dropped.
     pub fn attach(self, body: ResponseBody) -> ResponseBody {
-        TrackedBody { body, _open: self }.boxed_unsync()
+        body::with_guard(body, self)
     }
 }
 
@@ -73,29 +69,3 @@
         self.calls.lock().calls.remove(&self.id);
     }
 }
-
-/// A response body whose request is open until it is dropped.
-struct TrackedBody {
-    body: ResponseBody,
-    _open: OpenCall,
-}
-
-impl Body for TrackedBody {
-    type Data = Bytes;
-    type Error = StreamError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -4,25 +4,23 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::announce;
-use crate::call;
+use crate::connection;
 use crate::control;
 use crate::gossip::Gossip;
 use crate::router::{Router, StopPhase};
@@ -38,13 +36,8 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(150);
 /// Time between checks for open connections, and after a failed accept.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Smallest read buffer that hyper accepts.
-const MIN_HEADER_BYTES: usize = 8 << 10;
 /// Longest time for a request to the readiness or metrics address.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time beyond the idle timeout promised to callers, so that a request in flight at the end
-/// of the timeout is still read.
-const IDLE_SLACK: Duration = Duration::from_millis(1_500);
 
 /// Why a process could not start.
 #[derive(Debug, thiserror::Error)]
@@ -151,7 +144,10 @@
             Ok((stream, _)) => {
                 let (router, guard) = (router.clone(), ConnectionGuard::new(open.clone()));
                 tokio::spawn(async move {
-                    serve_caller(router, stream).await;
+                    if let Err(error) = stream.set_nodelay(true) {
+                        log::debug!("server: TCP_NODELAY not set: {error}");
+                    }
+                    connection::serve(router, stream).await;
                     drop(guard);
                 });
             }
@@ -163,48 +159,6 @@
     }
 }
 
-async fn serve_caller(router: Arc<Router>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("server: TCP_NODELAY not set: {error}");
-    }
-    let bounds = router.config().map(|config| config.bounds).unwrap_or_default();
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .max_buf_size(bounds.header_bytes.max(MIN_HEADER_BYTES))
-        // hyper counts the idle time before a request towards the timeout of its headers.
-        .header_read_timeout(bounds.idle_time.max(bounds.header_time) + IDLE_SLACK);
-    let service = service_fn(|request| answer(router.clone(), request));
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let ended = tokio::select! {
-        result = connection.as_mut() => Some(result),
-        () = router.reached(StopPhase::Finishing) => None,
-    };
-    let result = match ended {
-        Some(result) => result,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = result {
-        log::debug!("server: connection ended: {error}");
-    }
-}
-
-async fn answer(
-    router: Arc<Router>,
-    request: Request<Incoming>,
-) -> Result<Response<crate::relay::ResponseBody>, Infallible> {
-    let leaving = router.is_stopping();
-    let mut response = call::handle(router.clone(), request).await?;
-    if leaving || router.is_stopping() {
-        let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(http::header::CONNECTION, close);
-    }
-    Ok(response)
-}
-
 type Page = fn(&Router) -> (StatusCode, String);
 
 fn readiness_page(router: &Router) -> (StatusCode, String) {
