--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -286,10 +286,11 @@
 /// Draws one of a route's services at random, by weight.
 fn choose_service(config: &ConfigSnapshot, route: &Route) -> Option<Arc<Service>> {
     let candidates = route.split.iter().filter(|(name, _)| config.services.contains_key(name));
-    let total: u32 = candidates.clone().map(|(_, weight)| weight).sum();
+    let total: u64 = candidates.clone().map(|(_, weight)| u64::from(*weight)).sum();
     let mut point = if total == 0 { 0 } else { rand::random_range(0..total) };
     for (name, weight) in candidates {
-        if point < *weight || total == 0 {
+        let weight = u64::from(*weight);
+        if point < weight || total == 0 {
             return config.services.get(name).cloned();
         }
         point -= weight;
