--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -16,6 +16,9 @@
 use crate::config::ConfigSnapshot;
 use crate::registry::Upstream;
 
+/// Largest token count of one request, so that the sums over many requests do not overflow.
+pub const MAX_TOKENS: u64 = 1 << 40;
+
 /// Metadata parsed from the head of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestMeta {
--- a/crates/rosemarypitch-forward/src/quota.rs
+++ b/crates/rosemarypitch-forward/src/quota.rs
@@ -160,7 +160,8 @@
         // For a request refused by the draw, the delay is the time that its own tokens take to
         // refill.
         let missing = (needed - bucket.level()).max(tokens as f64);
-        let retry = Duration::from_secs_f64(missing / rate).min(MAX_RETRY);
+        let retry =
+            Duration::try_from_secs_f64(missing / rate).map_or(MAX_RETRY, |t| t.min(MAX_RETRY));
         // Until others report their fullness, an empty bucket says nothing about the customer.
         let unsettled = !self.settled && share.hosts > 1;
         Err(if unsettled { retry.min(UNSETTLED_RETRY) } else { retry })
