--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -189,6 +189,7 @@
             Err(failure) => failure,
         };
         let refusal = state.record(failure.refusal);
+        call.set_ran(state.ran);
         permit = match state.may_retry(router, call, failure.progress) {
             Ok(permit) => permit,
             Err(denial) => {
--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -10,19 +10,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::announce;
-use crate::call;
+use crate::connection::{self, FINAL_READ_TIME};
 use crate::control;
 use crate::gossip::Gossip;
 use crate::router::{Router, StopPhase};
@@ -30,18 +29,16 @@
 /// Time during which a stopping host still accepts callers: two readiness probes of the load
 /// balancer, one second apart, and some slack.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
+/// Time between the refusal of the requests that have no response yet and the end of the grace
+/// period.
+const CUT_MARGIN: Duration = Duration::from_millis(400);
 /// Time between the cut of the remaining streams and the end of the grace period, in which
 /// callers are notified of the cut.
-const CUT_MARGIN: Duration = Duration::from_millis(400);
+const EXIT_MARGIN: Duration = Duration::from_millis(150);
 /// Time between checks for open connections, and after a failed accept.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Smallest read buffer that hyper accepts.
-const MIN_HEADER_BYTES: usize = 8 << 10;
 /// Longest time for a request to the readiness or metrics address.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time beyond the idle timeout promised to callers, so that a request in flight at the end
-/// of the timeout is still read.
-const IDLE_SLACK: Duration = Duration::from_millis(1_500);
 
 /// Why a process could not start.
 #[derive(Debug, thiserror::Error)]
@@ -105,17 +102,33 @@
 }
 
 /// Leaves the load balancer, then waits for open connections within the grace period.
-async fn shut_down(router: &Router, open: &AtomicUsize) {
-    let grace = router.limits().grace;
-    let end = Instant::now() + grace.saturating_sub(CUT_MARGIN);
+pub async fn shut_down(router: &Router, open: &AtomicUsize) {
+    let (start, grace) = (Instant::now(), router.limits().grace);
+    let cut = start + grace.saturating_sub(CUT_MARGIN);
     log::info!("server: stopping open={}", open.load(Ordering::Relaxed));
-    router.stop_phase.send_replace(StopPhase::Leaving);
+    router.stop_by(cut);
     tokio::time::sleep(DRAIN_NOTICE.min(grace / 2)).await;
     router.stop_phase.send_replace(StopPhase::Finishing);
+    // Connections that have not been accepted yet are not counted.
+    tokio::time::sleep(FINAL_READ_TIME).await;
+    wait_closed(open, cut).await;
+    if open.load(Ordering::Relaxed) > 0 {
+        router.stop_phase.send_replace(StopPhase::Cutting);
+        wait_closed(open, start + grace.saturating_sub(EXIT_MARGIN)).await;
+    }
+    router.open_calls.log_cut(Instant::now());
+    log::info!(
+        "server: stopped cut={} requests={}",
+        open.load(Ordering::Relaxed),
+        router.open_calls.count(),
+    );
+}
+
+/// Waits until no connection is open, or until `end`.
+async fn wait_closed(open: &AtomicUsize, end: Instant) {
     while open.load(Ordering::Relaxed) > 0 && Instant::now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    log::info!("server: stopped cut={}", open.load(Ordering::Relaxed));
 }
 
 async fn listen(part: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
@@ -123,19 +136,26 @@
     TcpListener::bind(address).await.map_err(failed)
 }
 
-/// Accepts callers until the shutdown's last phase; `open` counts their connections.
+/// Accepts callers until the host finishes its requests, and those that were waiting then;
+/// `open` counts their connections.
 pub async fn accept(router: Arc<Router>, listener: TcpListener, open: Arc<AtomicUsize>) {
-    let mut stopping = router.stop_phase.subscribe();
+    let mut end = pin!(async {
+        router.reached(StopPhase::Finishing).await;
+        tokio::time::sleep(FINAL_READ_TIME).await;
+    });
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopping.wait_for(|phase| *phase == StopPhase::Finishing) => return,
+            () = &mut end => return,
         };
         match accepted {
             Ok((stream, _)) => {
                 let (router, guard) = (router.clone(), ConnectionGuard::new(open.clone()));
                 tokio::spawn(async move {
-                    serve_caller(router, stream).await;
+                    if let Err(error) = stream.set_nodelay(true) {
+                        log::debug!("server: TCP_NODELAY not set: {error}");
+                    }
+                    connection::serve(router, stream).await;
                     drop(guard);
                 });
             }
@@ -147,53 +167,6 @@
     }
 }
 
-async fn serve_caller(router: Arc<Router>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("server: TCP_NODELAY not set: {error}");
-    }
-    let bounds = router.config().map(|config| config.bounds).unwrap_or_default();
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .max_buf_size(bounds.header_bytes.max(MIN_HEADER_BYTES))
-        // hyper counts the idle time before a request towards the timeout of its headers.
-        .header_read_timeout(bounds.idle_time.max(bounds.header_time) + IDLE_SLACK);
-    let mut stopping = router.stop_phase.subscribe();
-    let service = service_fn(move |request| answer(router.clone(), request));
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let finishing = async {
-        // The sender lives as long as the router, so this cannot fail.
-        let _ = stopping.wait_for(|phase| *phase == StopPhase::Finishing).await;
-    };
-    let ended = tokio::select! {
-        result = connection.as_mut() => Some(result),
-        () = finishing => None,
-    };
-    let result = match ended {
-        Some(result) => result,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = result {
-        log::debug!("server: connection ended: {error}");
-    }
-}
-
-async fn answer(
-    router: Arc<Router>,
-    request: Request<Incoming>,
-) -> Result<Response<crate::relay::ResponseBody>, Infallible> {
-    let leaving = *router.stop_phase.borrow() != StopPhase::Running;
-    let mut response = call::handle(router.clone(), request).await?;
-    if leaving || *router.stop_phase.borrow() != StopPhase::Running {
-        let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(http::header::CONNECTION, close);
-    }
-    Ok(response)
-}
-
 type Page = fn(&Router) -> (StatusCode, String);
 
 fn readiness_page(router: &Router) -> (StatusCode, String) {
