Don't overflow at a load report with huge numbers

What callers would see: in a release build requests go to a server that reports a sum beyond 32 bits, since it looks idle; with overflow checks each request of the service ends without an answer. Cause: the balancer adds numbers of the report, and the requests in flight, without saturation.

Evidence: a_load_report_with_huge_numbers_does_not_overflow, on the code before, 2 of 2 failed: panicked at crates/rosemarypitch-forward/src/balance.rs:105: attempt to add with overflow Why it works: the sums saturate, so such a server looks full for as long as a report counts.

--- a/crates/rosemarypitch-forward/src/balance.rs
+++ b/crates/rosemarypitch-forward/src/balance.rs
@@ -102,9 +102,9 @@
         let fresh = self.report.filter(|(at, _, _)| now.duration_since(*at) < MAX_REPORT_AGE);
         let others = fresh.map_or(0, |(_, load, in_flight)| {
             // The report includes this host's requests, also the one that it came with.
-            (load.running + load.waiting).saturating_sub(in_flight)
+            load.running.saturating_add(load.waiting).saturating_sub(in_flight)
         });
-        let utilization = f64::from(self.in_flight + others) / slots;
+        let utilization = f64::from(self.in_flight.saturating_add(others)) / slots;
         let crossing = if self.upstream.zone.as_ref() == zone { 0.0 } else { CROSSING_COST };
         let failing = FAILURE_COST * self.health.failure_rate(now);
         let avoided = if self.health.is_avoided(now) { 100.0 } else { 0.0 };
--- a/crates/rosemarypitch-forward/tests/upstreams.rs
+++ b/crates/rosemarypitch-forward/tests/upstreams.rs
@@ -131,6 +131,20 @@
     assert_eq!(choose(&mut balancer, later, &[]).as_deref(), Some("near"));
 }
 
+#[rstest]
+#[case::many_waiting(Load { running: 1, waiting: u32::MAX, slots: 6 })]
+#[case::many_running(Load { running: u32::MAX, waiting: 0, slots: 0 })]
+fn a_load_report_with_huge_numbers_does_not_overflow(#[case] load: Load) {
+    let now = Instant::now();
+    let mut balancer = balancer(&[upstream("near"), in_other_zone("far")]);
+    balancer.report(now, "near", load);
+    for _ in 0..3 {
+        assert_eq!(choose(&mut balancer, now, &[]).as_deref(), Some("far"));
+    }
+    assert_eq!(choose(&mut balancer, now, &[Arc::from("far")]).as_deref(), Some("near"));
+    assert_eq!(choose(&mut balancer, now, &[Arc::from("far")]).as_deref(), Some("near"));
+}
+
 #[test]
 fn a_failing_server_is_chosen_only_without_an_alternative() {
     let now = Instant::now();
