Don't count an odd entry in the store as a host

What callers would see: refusals below their limit, since each host uses a smaller share of the limits and of the retry budget. Cause: an entry under hosts/ without a name, or with an address that no host can have, was counted.

Why it works: put_host makes the same check of the address as for servers (now in registry), asks for a name, and else changes nothing: an earlier entry of the host holds.

--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -18,6 +18,7 @@
 use crate::counters::TokenDeltas;
 use crate::peer_table::{self, LocalUsage, PeerTable};
 use crate::quota::Share;
+use crate::registry;
 use crate::remote_rows::ROW_INTERVAL;
 use crate::router::Router;
 use crate::snapshot::{Snapshot, SnapshotVersion};
@@ -62,11 +63,19 @@
         Arc::new(Self { router, id, table, in_progress, reported, client, relay_failed })
     }
 
-    /// Adds a host, or updates its entry from the store.
+    /// Adds a host, or updates its entry from the store. An entry that names no host changes
+    /// nothing.
     pub fn put_host(&self, host: Arc<str>, entry: &[u8]) {
-        match serde_json::from_slice::<HostEntry>(entry) {
-            Ok(entry) => self.lock().put(host, entry),
-            Err(error) => log::warn!("peers: entry of host={host} cannot be parsed: {error}"),
+        match serde_json::from_slice::<HostEntry>(entry).map_err(|error| error.to_string()) {
+            Ok(entry) if !host.is_empty() && registry::is_host_address(entry.address) => {
+                self.lock().put(host, entry);
+            }
+            Ok(HostEntry { address, .. }) => {
+                log::warn!("peers: entry of host={host:?} at {address} names no host");
+            }
+            Err(error) => {
+                log::warn!("peers: entry of host={host:?} cannot be parsed: {error:.200}");
+            }
         }
         self.update_share(Instant::now());
     }
--- a/crates/rosemarypitch-forward/src/registry.rs
+++ b/crates/rosemarypitch-forward/src/registry.rs
@@ -5,7 +5,7 @@
 //! from it is removed if it is still missing after [`REREGISTER_TIME`].
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,6 +56,13 @@
     Decode,
 }
 
+/// Whether an address can be that of one host. `0.0.0.0` would lead to this host itself.
+pub fn is_host_address(address: SocketAddr) -> bool {
+    let ip = address.ip().to_canonical();
+    let broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !broadcast
+}
+
 /// Registry of the known upstreams.
 #[derive(Debug, Default)]
 pub struct UpstreamRegistry {
