Don't pass on an unproven 408, 429 or 503 as a server's own

What callers saw: "not run, and never will be" for a request that a server may have run (REFUSED), where a faulty server answered with a bare 503, 429 or 408. Cause: only successes needed the echoed identifier and the signature. A status that promises not to have run, without the mark that says so, was taken for the server's own failure and passed on.

Why it works: such a response counts as that of another request, so that the caller gets 502, which promises nothing, and only a request that may run again is tried elsewhere. Refusals with the mark, and 503 with echo and signature, are as before.

--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
 use crate::call::Call;
@@ -208,21 +208,32 @@
 }
 
 /// Classifies a response to the attempt `attempt`.
-pub fn classify(meta: &ResponseMeta, attempt: &str, status: http::StatusCode) -> ResponseClass {
+pub fn classify(meta: &ResponseMeta, attempt: &str, status: StatusCode) -> ResponseClass {
     let other_attempt = meta.attempt.as_deref().is_some_and(|id| id != attempt);
     if other_attempt || meta.encoded {
         return ResponseClass::Mismatched;
     }
-    if meta.not_run || status == http::StatusCode::MISDIRECTED_REQUEST {
+    if meta.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseClass::NotRun;
     }
-    // A success without the echoed identifier and the signature may come from any server.
-    if status.is_success() && (!meta.signed || meta.attempt.is_none()) {
+    // Without the echoed identifier and the signature it may come from any server.
+    let proven = meta.signed && meta.attempt.is_some();
+    if (status.is_success() || promises_not_run(status)) && !proven {
         return ResponseClass::Mismatched;
     }
     ResponseClass::Genuine
 }
 
+/// Whether a status tells callers that the request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns the position at which an upstream starts its stream.
 pub fn resume_from<'a>(call: &Call, after: Option<&'a Position>) -> ResumeFrom<'a> {
     match (call.route.kind, after.and_then(|position| position.last_id.as_deref())) {
--- a/crates/rosemarypitch-forward/tests/refusals.rs
+++ b/crates/rosemarypitch-forward/tests/refusals.rs
@@ -43,6 +43,10 @@
 #[case::busy_for_another_request(ResponseMeta { not_run: true, ..answer(Some("b"), false) }, 503, ResponseClass::Mismatched)]
 #[case::another_server(answer(Some("a"), false), 421, ResponseClass::NotRun)]
 #[case::plain_503(answer(Some("a"), true), 503, ResponseClass::Genuine)]
+#[case::unsigned_503(answer(Some("a"), false), 503, ResponseClass::Mismatched)]
+#[case::plain_503_without_echo(answer(None, true), 503, ResponseClass::Mismatched)]
+#[case::bare_429(answer(None, false), 429, ResponseClass::Mismatched)]
+#[case::bare_408(answer(None, false), 408, ResponseClass::Mismatched)]
 fn responses_are_classified(
     #[case] meta: ResponseMeta,
     #[case] status: u16,
