Don't run a request again after a success marked as not run

What callers saw: a request that must not repeat ran at two servers (TWICE), where a faulty server answered 200 and also that it had not run it. Cause: the mark was believed on any status; only refusals carry it.

Why it works: such a response contradicts itself and counts as that of another request.

--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -213,6 +213,10 @@
     if other_attempt || meta.encoded {
         return ResponseClass::Mismatched;
     }
+    // A success that also reports not to have run contradicts itself.
+    if status.is_success() && meta.not_run {
+        return ResponseClass::Mismatched;
+    }
     if meta.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseClass::NotRun;
     }
--- a/crates/rosemarypitch-forward/tests/refusals.rs
+++ b/crates/rosemarypitch-forward/tests/refusals.rs
@@ -43,6 +43,7 @@
 #[case::busy_for_another_request(ResponseMeta { not_run: true, ..answer(Some("b"), false) }, 503, ResponseClass::Mismatched)]
 #[case::another_server(answer(Some("a"), false), 421, ResponseClass::NotRun)]
 #[case::plain_503(answer(Some("a"), true), 503, ResponseClass::Genuine)]
+#[case::contradiction(ResponseMeta { not_run: true, ..answer(Some("a"), true) }, 200, ResponseClass::Mismatched)]
 #[case::unsigned_503(answer(Some("a"), false), 503, ResponseClass::Mismatched)]
 #[case::plain_503_without_echo(answer(None, true), 503, ResponseClass::Mismatched)]
 #[case::bare_429(answer(None, false), 429, ResponseClass::Mismatched)]
