Don't pass on 101 as an answer

What callers saw: 101 Switching Protocols, signed by a server, in place of an answer, and an open connection on which anything may follow. Cause: hyper returns a 101 as a response, and it was no success, so that it needed no proof.

Evidence: a_request_that_may_have_run_is_not_reported_as_not_run::case_13_switching_protocols, on the code before: assertion `left == right` failed: HTTP/1.1 101 Switching Protocols .. left: 101 right: 502 Why it works: informational statuses answer no request; hyper skips the others (cases after_continue and after_early_hints).

--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -210,7 +210,7 @@
 /// Classifies a response to the attempt `attempt`.
 pub fn classify(meta: &ResponseMeta, attempt: &str, status: StatusCode) -> ResponseClass {
     let other_attempt = meta.attempt.as_deref().is_some_and(|id| id != attempt);
-    if other_attempt || meta.encoded {
+    if other_attempt || meta.encoded || status.is_informational() {
         return ResponseClass::Mismatched;
     }
     // A success that also reports not to have run contradicts itself.
