Don't use the handle in a prefill answer to another request

What callers would see: a stream generated from the memory of another request (MIXED). Cause: the answer to a prefill was used for its status and body alone; an answer that names another attempt, or is encoded, was not told apart.

Evidence: a_prefill_answer_to_another_request_is_not_used, on the code before, 3 of 3 failed: left: Some("127.0.0.1:36751/c9") right: None (the source that the decode engine was given) Why it works: such an answer counts as a failed prefill. The platform's examples show prefill answers without the attempt's id, so that none is asked for.

--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -93,14 +93,17 @@
     let response = tokio::time::timeout(timeout, exchange).await;
     let (handle, end, detail) = match response {
         Ok(Ok(response)) => {
-            let handle = (response.status() == StatusCode::OK)
-                .then(|| router.dialect.cache_handle(response.body()))
-                .flatten();
+            let (head, body) = response.into_parts();
+            // The handle of another request would lead to the memory of that request.
+            let meta = router.dialect.parse_response(&head);
+            let own = meta.attempt.is_none_or(|attempt| attempt == call.meta.attempt);
+            let usable = head.status == StatusCode::OK && own && !meta.encoded;
+            let handle = usable.then(|| router.dialect.cache_handle(&body)).flatten();
             let end = match handle {
                 Some(_) => PrefillEnd::Finished(start.elapsed()),
                 None => PrefillEnd::Failed(Outcome::Failed),
             };
-            (handle, end, response.status().to_string())
+            (handle, end, head.status.to_string())
         }
         Ok(Err(error)) => {
             let outcome = if error.is_unsent() { Outcome::Unreachable } else { Outcome::Failed };
