Take a stream without a length that ends inside an event for broken

Cause: the end of such a body is that of its connection, and hyper reports both as a regular end. The bytes after the last whole event were forwarded then, also those of a second upstream.

Answers with a length or chunks end as before, an error's body too.

--- a/crates/rosemarypitch-forward/src/events.rs
+++ b/crates/rosemarypitch-forward/src/events.rs
@@ -24,6 +24,8 @@
     /// Identifier from the current event's `id` field.
     id: Option<Arc<str>>,
     position: Position,
+    /// Whether the bytes come from another upstream than those at the start.
+    resumed: bool,
 }
 
 /// Position in an event stream.
@@ -45,6 +47,7 @@
             line_start: 0,
             id: None,
             position: Position::default(),
+            resumed: false,
         }
     }
 
@@ -64,6 +67,16 @@
         self.whole_only
     }
 
+    /// Whether another upstream has resumed the stream.
+    pub fn is_resumed(&self) -> bool {
+        self.resumed
+    }
+
+    /// Whether the bytes received end inside an event.
+    pub fn is_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
     /// Takes received bytes and returns those to forward now.
     pub fn push(&mut self, bytes: &Bytes) -> Bytes {
         self.partial.extend_from_slice(bytes);
@@ -77,12 +90,17 @@
     /// Takes the end of the stream and returns the bytes still buffered.
     pub fn finish(&mut self) -> Bytes {
         let rest = self.partial.split().freeze();
-        self.discard_partial();
+        self.clear_partial();
         if self.whole_only { rest } else { Bytes::new() }
     }
 
-    /// Discards the bytes received of an incomplete event.
+    /// Discards the bytes received of an incomplete event, for another upstream to resume.
     pub fn discard_partial(&mut self) {
+        self.clear_partial();
+        self.resumed = true;
+    }
+
+    fn clear_partial(&mut self) {
         self.partial.clear();
         self.scanned = 0;
         self.line_start = 0;
--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Response, response};
+use http::{Response, header, response};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming};
@@ -69,6 +69,8 @@
 /// Part of a stream that comes from one upstream.
 pub struct Segment {
     body: Incoming,
+    /// Whether the body has neither a length nor chunks, and ends with its connection.
+    unframed: bool,
     on_events: OnEvents,
     on_end: Option<OnEnd>,
     _connection: Connection,
@@ -87,6 +89,7 @@
     ) -> Self {
         Self {
             body,
+            unframed: false,
             on_events: Box::new(on_events),
             on_end: Some(Box::new(on_end)),
             _connection: connection,
@@ -121,9 +124,13 @@
     opened: OpenStream,
     body: impl FnOnce(Segment) -> ResponseBody,
 ) -> Response<ResponseBody> {
-    let mut response = Response::new(body(opened.segment));
-    *response.status_mut() = opened.head.status;
-    *response.headers_mut() = router.dialect.response_headers(&opened.head);
+    let OpenStream { head, mut segment } = opened;
+    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    let framed = framing.iter().any(|name| head.headers.contains_key(name));
+    segment.unframed = head.status.is_success() && !framed;
+    let mut response = Response::new(body(segment));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = router.dialect.response_headers(&head);
     response
 }
 
@@ -161,6 +168,8 @@
     policy: Option<ResumePolicy>,
     deadline: Pin<Box<Sleep>>,
     idle_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the first segment's body ends with its connection.
+    unframed: bool,
 }
 
 enum State {
@@ -176,6 +185,7 @@
         deadline: Instant,
         policy: Option<ResumePolicy>,
     ) -> ResponseBody {
+        let unframed = segment.unframed;
         let idle_timer =
             policy.as_ref().map(|policy| Box::pin(tokio::time::sleep(policy.idle_timeout)));
         Self {
@@ -184,6 +194,7 @@
             policy,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
             idle_timer,
+            unframed,
         }
         .boxed_unsync()
     }
@@ -226,6 +237,12 @@
         (!output.is_empty()).then(|| Frame::data(output))
     }
 
+    /// Whether a segment that has ended lacks the rest of an event. The end of an unframed body
+    /// may be that of its connection, and what another upstream sends has to be whole events.
+    fn is_truncated(&self) -> bool {
+        self.events.is_partial() && (self.unframed || self.events.is_resumed())
+    }
+
     /// Processes the regular end of the stream and returns the rest to forward.
     fn finish(&mut self) -> Option<Frame<Bytes>> {
         if let State::Reading(segment) = &mut self.state {
@@ -269,6 +286,7 @@
                         Some(frame) => return Poll::Ready(Some(Ok(frame))),
                         None => continue,
                     },
+                    Poll::Ready(None) if stream.is_truncated() => StreamError::Upstream,
                     Poll::Ready(None) => return Poll::Ready(stream.finish().map(Ok)),
                     Poll::Ready(Some(Err(_))) => StreamError::Upstream,
                     Poll::Pending if stream.is_idle(context) => StreamError::Silent,
--- a/crates/rosemarypitch-forward/tests/events.rs
+++ b/crates/rosemarypitch-forward/tests/events.rs
@@ -49,6 +49,23 @@
     assert_eq!(events.finish(), at_end);
 }
 
+#[rstest]
+#[case::line("rest", true)]
+#[case::field("data: rest\n", true)]
+#[case::event("data: rest\n\n", false)]
+#[case::event_of_crlf("data: rest\r\n\r\n", false)]
+#[case::empty_lines("data: rest\n\n\n\r\n", false)]
+fn bytes_that_end_inside_an_event_are_partial(#[case] text: &str, #[case] partial: bool) {
+    for whole in [true, false] {
+        let mut events = EventFramer::new(whole);
+        assert!(!events.is_partial());
+        assert_eq!(push(&mut events, text), if whole && partial { "" } else { text });
+        assert_eq!(events.is_partial(), partial);
+        events.discard_partial();
+        assert!(events.is_resumed() && !events.is_partial());
+    }
+}
+
 /// A failing upstream may send bytes without end that are no event. They were buffered up to a
 /// limit, and forwarded to the caller beyond it.
 #[test]
