Resume a stream only with events that follow its last one

Cause: whatever the next upstream sent was forwarded if it looked like lines and empty lines.

Why it works: the first event of the next upstream needs an identifier above the last one (an event of comments may come before); else the upstream has failed, and another one is tried within the route's attempts and the retry budget, or the body is aborted. The platform says that identifiers increase, not that they do so by one, so a gap is no fault. Identifiers that are no numbers only have to differ.

--- a/crates/rosemarypitch-forward/src/events.rs
+++ b/crates/rosemarypitch-forward/src/events.rs
@@ -26,6 +26,12 @@
     position: Position,
     /// Whether the bytes come from another upstream than those at the start.
     resumed: bool,
+    /// Whether the next event has to follow the last one of the upstream before.
+    unproven: bool,
+    /// Whether the current event has a field.
+    has_field: bool,
+    /// Whether an event did not follow.
+    misplaced: bool,
 }
 
 /// Position in an event stream.
@@ -48,6 +54,9 @@
             id: None,
             position: Position::default(),
             resumed: false,
+            unproven: false,
+            has_field: false,
+            misplaced: false,
         }
     }
 
@@ -62,6 +71,12 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
+    /// Whether an upstream that resumed the stream sent something else than the events that
+    /// follow: earlier ones again, or an error.
+    pub fn is_misplaced(&self) -> bool {
+        self.misplaced
+    }
+
     /// Whether another upstream can resume: no part of an incomplete event was forwarded.
     pub fn is_resumable(&self) -> bool {
         self.whole_only
@@ -98,6 +113,7 @@
     pub fn discard_partial(&mut self) {
         self.clear_partial();
         self.resumed = true;
+        self.unproven = self.position.last_id.is_some();
     }
 
     fn clear_partial(&mut self) {
@@ -105,12 +121,14 @@
         self.scanned = 0;
         self.line_start = 0;
         self.id = None;
+        self.has_field = false;
+        self.misplaced = false;
     }
 
     /// Scans new bytes and returns the end offset of the last complete event, 0 if none.
     fn scan(&mut self) -> usize {
         let mut end = 0;
-        while self.scanned < self.partial.len() {
+        while self.scanned < self.partial.len() && !self.misplaced {
             let at = self.scanned;
             self.scanned += 1;
             if self.partial[at] != b'\n' {
@@ -120,15 +138,40 @@
             if line.is_empty() {
                 // Consecutive empty lines end only one event.
                 if self.line_start > end {
+                    let (id, has_field) = (self.id.take(), std::mem::take(&mut self.has_field));
+                    if self.unproven && has_field {
+                        self.misplaced = !follows(self.position.last_id.as_deref(), id.as_deref());
+                        if self.misplaced {
+                            break;
+                        }
+                        self.unproven = false;
+                    }
                     self.position.events += 1;
-                    self.position.last_id = self.id.take().or_else(|| self.position.last_id.take());
+                    self.position.last_id = id.or_else(|| self.position.last_id.take());
                 }
                 end = at + 1;
-            } else if let Some(id) = line.strip_prefix(b"id:") {
-                self.id = std::str::from_utf8(id.trim_ascii()).ok().map(Arc::from);
+            } else {
+                self.has_field |= line[0] != b':';
+                if let Some(id) = line.strip_prefix(b"id:") {
+                    self.id = std::str::from_utf8(id.trim_ascii()).ok().map(Arc::from);
+                }
             }
             self.line_start = at + 1;
         }
         end
     }
 }
+
+/// Whether an event with the identifier `id` can come after the event `last`. Identifiers
+/// increase, but not always by one.
+fn follows(last: Option<&str>, id: Option<&str>) -> bool {
+    let number = |id: &str| id.parse::<u64>().ok();
+    match (last, id) {
+        (Some(last), Some(id)) => match (number(last), number(id)) {
+            (Some(last), Some(id)) => id > last,
+            _ => id != last,
+        },
+        (None, _) => true,
+        (Some(_), None) => false,
+    }
+}
--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -281,6 +281,10 @@
                     log::warn!("call: upstream sent an event that is too long");
                     StreamError::Upstream
                 }
+                State::Reading(_) if stream.events.is_misplaced() => {
+                    log::warn!("call: upstream did not resume after the last event");
+                    StreamError::Upstream
+                }
                 State::Reading(segment) => match Pin::new(&mut segment.body).poll_frame(context) {
                     Poll::Ready(Some(Ok(frame))) => match stream.accept(frame) {
                         Some(frame) => return Poll::Ready(Some(Ok(frame))),
--- a/crates/rosemarypitch-forward/tests/events.rs
+++ b/crates/rosemarypitch-forward/tests/events.rs
@@ -66,6 +66,37 @@
     }
 }
 
+/// The next upstream of a stream after event 7, at any chunking.
+#[rstest]
+#[case::next("id: 8\ndata: a\n\nid: 9\n\n", "id: 8\ndata: a\n\nid: 9\n\n", false)]
+#[case::later("id: 12\n\n", "id: 12\n\n", false)]
+#[case::note(": note\n\nid: 8\n\n", ": note\n\nid: 8\n\n", false)]
+#[case::end_without_id("id: 8\n\ndata: end\n\n", "id: 8\n\ndata: end\n\n", false)]
+#[case::same_again("id: 7\ndata: a\n\nid: 8\n\n", "", true)]
+#[case::from_the_start("id: 1\ndata: a\n\nid: 8\n\n", "", true)]
+#[case::no_id("data: a\n\nid: 8\n\n", "", true)]
+#[case::error("HTTP/1.1 500 Error\r\na: b\r\n\r\nid: 8\n\n", "", true)]
+#[case::no_number("id: x\n\n", "id: x\n\n", false)]
+#[case::note_and_error(": note\n\nfailed\n\n", ": note\n\n", true)]
+fn only_events_that_follow_the_last_one_resume_a_stream(
+    #[case] text: &str,
+    #[case] expected: &str,
+    #[case] misplaced: bool,
+) {
+    for split in 0..text.len() {
+        let mut events = EventFramer::new(true);
+        assert_eq!(push(&mut events, "id: 7\n\nid: 8\nda"), "id: 7\n\n");
+        events.discard_partial();
+        let forwarded = push(&mut events, &text[..split]) + &push(&mut events, &text[split..]);
+        assert_eq!((forwarded.as_str(), events.is_misplaced()), (expected, misplaced), "{split}");
+        if misplaced {
+            events.discard_partial();
+            assert_eq!(push(&mut events, "id: 8\n\n"), "id: 8\n\n");
+            assert!(!events.is_misplaced());
+        }
+    }
+}
+
 /// A failing upstream may send bytes without end that are no event. They were buffered up to a
 /// limit, and forwarded to the caller beyond it.
 #[test]
