--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Response, response};
+use http::{Response, header, response};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming};
@@ -80,6 +80,8 @@
     body: Incoming,
     /// Number of events in the whole stream after the latest one of this part.
     events: u64,
+    /// Whether the body has neither a length nor chunks, and ends with its connection.
+    unframed: bool,
     on_events: OnEvents,
     on_end: Option<OnEnd>,
     _connection: Connection,
@@ -100,6 +102,7 @@
         Self {
             body,
             events: 0,
+            unframed: false,
             on_events: Box::new(on_events),
             on_end: Some(Box::new(on_end)),
             _connection: connection,
@@ -139,9 +142,13 @@
     opened: OpenStream,
     body: impl FnOnce(Segment) -> ResponseBody,
 ) -> Response<ResponseBody> {
-    let mut response = Response::new(body(opened.segment));
-    *response.status_mut() = opened.head.status;
-    *response.headers_mut() = router.dialect.response_headers(&opened.head);
+    let OpenStream { head, mut segment } = opened;
+    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    let framed = framing.iter().any(|name| head.headers.contains_key(name));
+    segment.unframed = head.status.is_success() && !framed;
+    let mut response = Response::new(body(segment));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = router.dialect.response_headers(&head);
     response
 }
 
@@ -197,6 +204,8 @@
     policy: Option<ResumePolicy>,
     deadline: Pin<Box<Sleep>>,
     idle_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the first segment's body ends with its connection.
+    unframed: bool,
 }
 
 enum State {
@@ -215,6 +224,7 @@
         deadline: Instant,
         policy: Option<ResumePolicy>,
     ) -> ResponseBody {
+        let unframed = segment.unframed;
         let idle_timer =
             policy.as_ref().map(|policy| Box::pin(tokio::time::sleep(policy.idle_timeout)));
         Self {
@@ -223,6 +233,7 @@
             policy,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
             idle_timer,
+            unframed,
         }
         .boxed_unsync()
     }
@@ -294,6 +305,12 @@
         (!output.is_empty()).then(|| Frame::data(output))
     }
 
+    /// Whether a segment that has ended lacks the rest of an event. The end of an unframed body
+    /// may be that of its connection, and what another upstream sends has to be whole events.
+    fn is_truncated(&self) -> bool {
+        self.events.is_partial() && (self.unframed || self.events.is_resumed())
+    }
+
     /// Processes the regular end of the stream and returns the rest to forward.
     fn finish(&mut self) -> Option<Frame<Bytes>> {
         if let State::Reading(segment, _) = &mut self.state {
@@ -325,12 +342,17 @@
                     log::warn!("call: upstream sent an event that is too long");
                     StreamError::Upstream
                 }
+                State::Reading(..) if stream.events.is_misplaced() => {
+                    log::warn!("call: upstream did not resume after the last event");
+                    StreamError::Upstream
+                }
                 State::Reading(segment, _) => match Pin::new(&mut segment.body).poll_frame(context)
                 {
                     Poll::Ready(Some(Ok(frame))) => match stream.accept(frame) {
                         Some(frame) => return Poll::Ready(Some(Ok(frame))),
                         None => continue,
                     },
+                    Poll::Ready(None) if stream.is_truncated() => StreamError::Upstream,
                     Poll::Ready(None) => return Poll::Ready(stream.finish().map(Ok)),
                     Poll::Ready(Some(Err(_))) => StreamError::Upstream,
                     Poll::Pending => {
