Leave a server that is late to answer only for one that takes over

Callers got status 502 though their sound server would have answered: it had paused for about a second, or was slow to start.

`plain/send.rs` gave an idempotent request up after three targets, and `generate/decode.rs` the head of a resumable stream after two, and only then asked whether a retry is allowed (budget, attempts, another server).

Fix: after that time another upstream is chosen first: for plain services a retry and a server, for engines a retry, a reserved slot and the prefilled prompt, while the answer is still awaited. The connection is closed only once that has succeeded, and the retry that was taken is the one that is sent. Otherwise the request waits on, and asks again after the same time, until its deadline. For streams of engines that time is not below the idle timeout. An engine that answers after it was avoided is usable at once. A caller's disconnect drops all of it as before.

Evidence: test silence on the code before: `test result: FAILED. 15 passed; 6 failed`, all six in `an_upstream_late_to_answer_is_waited_for_unless_another_can_take_over`: `left: 502 right: 200`.

Flaky: test endless, memory of `an_endless_answer_of_a_server_is_cut_off`, 5 of 19 runs on this code above its 40960 kB (43344 to 55624 kB).

--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -32,6 +32,7 @@
 use crate::retry::{Denial, RetryPermit};
 use crate::router::Router;
 
+use decode::DecodeFailure;
 use prefill::KvCache;
 use slot::SlotGuard;
 
@@ -179,14 +180,18 @@
         };
         let opened = match ready {
             Ok(prepared) => decode::decode(router, call, state, prepared, after).await,
-            Err(failure) => Err(failure),
+            Err(failure) => Err(DecodeFailure::Failed(failure)),
         };
         let failure = match opened {
             Ok(opened) => {
                 state.possible_runs += u32::from(!state.same_engine);
                 return Ok(opened);
             }
-            Err(failure) => failure,
+            Err(DecodeFailure::Replaced(next)) => {
+                prepared = Some(next);
+                continue;
+            }
+            Err(DecodeFailure::Failed(failure)) => failure,
         };
         let refusal = state.record(failure.refusal);
         permit = match state.may_retry(router, call, failure.progress) {
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -1,14 +1,18 @@
 //! The decode stage: sends a request to the engine that has its slot and relays the stream.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
 use tokio::time::Instant;
 
 use super::prefill::KvCache;
 use super::slot::SlotGuard;
 use super::{
     FAILED_RETRY_AFTER, FailedAttempt, Prepared, Progress, RetryState, build_request, jitter,
+    resume,
 };
 use crate::call::Call;
 use crate::client::{self, Exchange, SendError};
@@ -21,10 +25,32 @@
 use crate::relay::{self, OpenStream, Segment, StreamEnd, StreamError};
 use crate::router::Router;
 
-/// Timeout for the start of a response, in multiples of the route's target, where the
-/// request may run again. Callers give up after twice this time.
+/// Time until the start of a response after which another engine is to take over, in multiples
+/// of the route's target, where the request may run again.
 const TIMEOUT_TARGETS: u32 = 2;
 
+/// Reason why an engine opened no stream.
+pub enum DecodeFailure {
+    /// The attempt failed.
+    Failed(FailedAttempt),
+    /// The engine was silent, and another one is ready to receive the request.
+    Replaced(Prepared),
+}
+
+impl From<FailedAttempt> for DecodeFailure {
+    fn from(failure: FailedAttempt) -> Self {
+        Self::Failed(failure)
+    }
+}
+
+/// What an engine's response head was awaited for.
+enum Answer {
+    Received(Result<Exchange, SendError>),
+    Replaced(Prepared),
+    /// The deadline has passed.
+    Late,
+}
+
 /// Sends a request to the engine that holds its slot.
 pub async fn decode(
     router: &Arc<Router>,
@@ -32,7 +58,7 @@
     state: &mut RetryState,
     prepared: Prepared,
     after: Option<&Position>,
-) -> Result<OpenStream, FailedAttempt> {
+) -> Result<OpenStream, DecodeFailure> {
     let sent = Instant::now();
     let Prepared { mut slot, mut cache, permit } = prepared;
     if let Some(permit) = permit {
@@ -45,18 +71,25 @@
     if let Some(cache) = &mut cache {
         cache.handed_over = true;
     }
-    let exchange = client::send(slot.engine.address, request);
-    let result = tokio::time::timeout(response_timeout(call, sent), exchange).await;
-    let (result, detail) = match result {
-        Ok(Ok(exchange)) => {
+    let answer = await_answer(router, call, state, slot.engine.address, request, after).await;
+    let (result, detail) = match answer {
+        Answer::Received(Ok(exchange)) => {
             let status = exchange.response.status();
             (Ok(exchange), status.to_string())
         }
-        Ok(Err(error)) => {
+        Answer::Received(Err(error)) => {
             let detail = error.to_string();
-            (Err(send_failure(&error)), detail)
+            let (failure, outcome) = send_failure(&error);
+            (Err((DecodeFailure::Failed(failure), outcome)), detail)
+        }
+        Answer::Replaced(prepared) => {
+            (Err((DecodeFailure::Replaced(prepared), Outcome::Unreachable)), "replaced".to_owned())
+        }
+        Answer::Late => {
+            let refusal = Refusal::new(Cause::Timeout, Ran::Maybe);
+            let failure = FailedAttempt { refusal, progress: Progress::Delivered };
+            (Err((DecodeFailure::Failed(failure), Outcome::Unreachable)), "silent".to_owned())
         }
-        Err(_) => (Err((timeout_failure(call), Outcome::Unreachable)), "silent".to_owned()),
     };
     router.metrics.count_send("decode", if result.is_ok() { "answered" } else { "failed" });
     log::info!(
@@ -68,9 +101,15 @@
         call.start.elapsed().as_millis(),
     );
     match result {
-        Ok(exchange) => accept_response(router, call, state, slot, cache, exchange),
+        Ok(exchange) => {
+            if takeover_timeout(call).is_some_and(|timeout| sent.elapsed() >= timeout) {
+                // It was avoided while it was silent.
+                record_success(router, call, &slot.engine.id);
+            }
+            accept_response(router, call, state, slot, cache, exchange).map_err(Into::into)
+        }
         Err((failure, outcome)) => {
-            if failure.progress == Progress::Unsent {
+            if matches!(&failure, DecodeFailure::Failed(f) if f.progress == Progress::Unsent) {
                 // The engine has used neither the cache nor the reservation.
                 slot.reservation = reservation;
                 if let Some(cache) = &mut cache {
@@ -83,20 +122,34 @@
     }
 }
 
-/// Timeout for the start of a response.
-fn response_timeout(call: &Call, now: Instant) -> Duration {
-    let left = call.remaining(now);
-    if call.route.kind.may_run_again() {
-        left.min(call.route.target * TIMEOUT_TARGETS)
-    } else {
-        left
+/// Sends a request and waits for the head of its response.
+async fn await_answer(
+    router: &Arc<Router>,
+    call: &Arc<Call>,
+    state: &mut RetryState,
+    address: SocketAddr,
+    request: Request<Bytes>,
+    after: Option<&Position>,
+) -> Answer {
+    let replacement = async {
+        match takeover_timeout(call) {
+            Some(timeout) => resume::replacement(router, call, state, after, timeout).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        biased;
+        result = client::send(address, request) => Answer::Received(result),
+        () = tokio::time::sleep_until(call.deadline) => Answer::Late,
+        prepared = replacement => Answer::Replaced(prepared),
     }
 }
 
-fn timeout_failure(call: &Call) -> FailedAttempt {
-    let over = call.remaining(Instant::now()).is_zero();
-    let cause = if over { Cause::Timeout } else { Cause::UpstreamFailed };
-    FailedAttempt { refusal: Refusal::new(cause, Ran::Maybe), progress: Progress::Delivered }
+/// Time without a response after which another engine is to take over; none if the request
+/// may run only once.
+fn takeover_timeout(call: &Call) -> Option<Duration> {
+    let timeout = (call.route.target * TIMEOUT_TARGETS).max(relay::idle_timeout(&call.route));
+    call.route.kind.may_run_again().then_some(timeout)
 }
 
 fn send_failure(error: &SendError) -> (FailedAttempt, Outcome) {
@@ -136,7 +189,7 @@
         ResponseClass::Genuine => {}
     }
     if let Some(prefill_engine) = prefill_engine {
-        record_prefill(router, call, &prefill_engine, Outcome::Succeeded);
+        record_success(router, call, &prefill_engine);
     }
     let success = head.status.is_success();
     let on_events = progress_callback(router, call, slot.engine.id.clone(), slot.ticket);
@@ -158,13 +211,17 @@
         return slot.finish(DecodeEnd::Failed(Outcome::Failed));
     };
     slot.finish(DecodeEnd::Cancelled);
-    record_prefill(router, call, &prefill_engine, Outcome::Failed);
+    record_outcome(router, call, &prefill_engine, Outcome::Failed);
     state.lost_caches.push(prefill_engine);
 }
 
-fn record_prefill(router: &Router, call: &Call, prefill_engine: &str, outcome: Outcome) {
+fn record_success(router: &Router, call: &Call, engine: &str) {
+    record_outcome(router, call, engine, Outcome::Succeeded);
+}
+
+fn record_outcome(router: &Router, call: &Call, engine: &str, outcome: Outcome) {
     let now = Instant::now();
-    router.with_pool(&call.service.name, |pool| pool.record_outcome(now, prefill_engine, outcome));
+    router.with_pool(&call.service.name, |pool| pool.record_outcome(now, engine, outcome));
 }
 
 fn finish_stream(slot: SlotGuard, end: StreamEnd, events: u64, success: bool) {
--- a/crates/rosemarypitch-forward/src/generate/resume.rs
+++ b/crates/rosemarypitch-forward/src/generate/resume.rs
@@ -1,6 +1,7 @@
-//! Resumption of an interrupted or silent stream at another engine.
+//! Resumption of an interrupted stream, and replacement of a silent engine.
 
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -8,6 +9,7 @@
 use crate::call::Call;
 use crate::events::Position;
 use crate::health::Outcome;
+use crate::refusal::{Cause, Ran, Refusal};
 use crate::relay::{self, PrepareFuture, ResumePolicy, SegmentFuture, StreamError};
 use crate::router::Router;
 
@@ -54,29 +56,19 @@
         cause: StreamError,
     ) -> Result<Prepared, &'static str> {
         let (router, call) = (&self.router, &self.call);
-        let permit = state.may_retry(router, call, Progress::Delivered);
-        let permit = permit.map_err(|denial| denial.name())?;
-        let last_engine = state.last_engine.clone();
-        let choice = if cause == StreamError::Silent {
-            self.avoid(last_engine.as_ref());
+        if cause == StreamError::Silent {
             // If this preparation is dropped, an engine may have prefilled the prompt.
             self.state().prefilled = true;
-            EngineChoice { first: None, excluded: last_engine }
-        } else {
-            EngineChoice { first: last_engine.filter(|_| !state.same_engine), excluded: None }
-        };
+            return prepare_replacement(router, call, state, Some(position)).await;
+        }
+        let permit = state.may_retry(router, call, Progress::Delivered);
+        let permit = permit.map_err(|denial| denial.name())?;
+        let first = state.last_engine.clone().filter(|_| !state.same_engine);
+        let choice = EngineChoice { first, excluded: None };
         let prepared = prepare(router, call, state, Some(position), choice, permit).await;
         prepared.map_err(|failure| failure.refusal.cause.name())
     }
 
-    /// Keeps requests from a silent engine for a short time.
-    fn avoid(&self, engine: Option<&Arc<str>>) {
-        let (now, Some(engine)) = (Instant::now(), engine) else { return };
-        self.router.with_pool(&self.call.service.name, |pool| {
-            pool.record_outcome(now, engine, Outcome::Unreachable);
-        });
-    }
-
     fn resume(
         self: Arc<Self>,
         mut state: RetryState,
@@ -93,3 +85,53 @@
         })
     }
 }
+
+/// Prepares another engine for a request whose engine is silent; the error is the reason why
+/// none is ready.
+async fn prepare_replacement(
+    router: &Arc<Router>,
+    call: &Arc<Call>,
+    state: &mut RetryState,
+    after: Option<&Position>,
+) -> Result<Prepared, &'static str> {
+    let permit = state.may_retry(router, call, Progress::Delivered);
+    let permit = permit.map_err(|denial| denial.name())?;
+    let silent = state.last_engine.clone();
+    if let Some(silent) = &silent {
+        let now = Instant::now();
+        router.with_pool(&call.service.name, |pool| {
+            pool.record_outcome(now, silent, Outcome::Unreachable);
+        });
+    }
+    let choice = EngineChoice { first: None, excluded: silent };
+    let prepared = prepare(router, call, state, after, choice, permit).await;
+    prepared.map_err(|failure| failure.refusal.cause.name())
+}
+
+/// Waits until the engine has been silent for `timeout` and another one is ready to take over
+/// its request.
+pub async fn replacement(
+    router: &Arc<Router>,
+    call: &Arc<Call>,
+    state: &mut RetryState,
+    after: Option<&Position>,
+    timeout: Duration,
+) -> Prepared {
+    loop {
+        tokio::time::sleep(timeout).await;
+        let mut next = state.clone();
+        next.record(Refusal::new(Cause::UpstreamFailed, Ran::Maybe));
+        // If this preparation is dropped, an engine may have prefilled the prompt.
+        state.prefilled = true;
+        match prepare_replacement(router, call, &mut next, after).await {
+            Ok(prepared) => {
+                *state = next;
+                return prepared;
+            }
+            Err(reason) => {
+                let attempt = &call.meta.attempt;
+                log::info!("call: silent engine kept attempt={attempt} reason={reason}");
+            }
+        }
+    }
+}
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -151,6 +151,20 @@
         Ok(Chosen { server, permit })
     }
 
+    /// Chooses the server that takes over a request from a silent one.
+    fn replacement(&self, router: &Arc<Router>, call: &Call) -> Option<Chosen> {
+        let mut state = self.clone();
+        state.record_run();
+        match state.next_server(router, call) {
+            Ok(next) => Some(next),
+            Err(denial) => {
+                let (attempt, reason) = (&call.meta.attempt, denial.name());
+                log::info!("call: silent server kept attempt={attempt} reason={reason}");
+                None
+            }
+        }
+    }
+
     fn record_run(&mut self) {
         self.ran = Ran::Maybe;
         self.delivered += 1;
@@ -159,7 +173,7 @@
 }
 
 /// A server that is to receive a request.
-struct Chosen {
+pub struct Chosen {
     server: InFlight,
     /// Retry that the request draws on, if any.
     permit: Option<RetryPermit>,
@@ -185,7 +199,8 @@
         if let Some(permit) = permit {
             permit.spend();
         }
-        match send::send(router, call, server, after).await {
+        let replace = || state.replacement(router, call);
+        match send::send(router, call, server, after, replace).await {
             SendOutcome::Stream(opened) => {
                 state.record_run();
                 return Ok(Reply::Stream(opened));
@@ -201,6 +216,11 @@
             SendOutcome::NotRun => state.delivered += 1,
             SendOutcome::Unsent => state.unreachable += 1,
             SendOutcome::Unknown => state.record_run(),
+            SendOutcome::Replaced(replacement) => {
+                state.record_run();
+                next = Some(replacement);
+                continue;
+            }
         }
         next = match state.next_server(router, call) {
             Ok(next) => Some(next),
--- a/crates/rosemarypitch-forward/src/plain/send.rs
+++ b/crates/rosemarypitch-forward/src/plain/send.rs
@@ -1,5 +1,7 @@
 //! A single attempt at a plain server, and its effect on the server's health.
 
+use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,7 +9,7 @@
 use http::{Request, Response, response};
 use tokio::time::Instant;
 
-use super::{ResponseClass, classify, resume_from, upstream_request};
+use super::{Chosen, ResponseClass, classify, resume_from, upstream_request};
 use crate::call::Call;
 use crate::client::{self, Exchange, SendError, SendStep};
 use crate::deployment::{SendParams, ServingStage};
@@ -17,7 +19,8 @@
 use crate::relay::{OpenStream, Segment, StreamEnd, StreamError};
 use crate::router::Router;
 
-/// Timeout of a request that may be retried elsewhere, in multiples of the route's target.
+/// Time without a complete response after which another server is to take over a request that
+/// may run again, in multiples of the route's target.
 const TIMEOUT_TARGETS: u32 = 3;
 
 /// Outcome of one attempt.
@@ -30,31 +33,36 @@
     NotRun,
     /// The upstream did not receive the request.
     Unsent,
+    /// The upstream was silent, and another one is to receive the request.
+    Replaced(Chosen),
     /// Any other outcome; the request may have run.
     Unknown,
 }
 
 /// Sends a request to one server and records the outcome.
+///
+/// If the server is silent, `replace` chooses another one that takes over; none if the request
+/// has to stay.
 pub async fn send(
     router: &Arc<Router>,
     call: &Arc<Call>,
     in_flight: InFlight,
     after: Option<&Position>,
+    replace: impl FnMut() -> Option<Chosen>,
 ) -> SendOutcome {
     let start = Instant::now();
     let remaining = call.remaining(start);
-    let timeout = if call.route.kind.may_run_again() {
-        remaining.min(call.route.target * TIMEOUT_TARGETS)
-    } else {
-        remaining
-    };
     let upstream = &*in_flight.upstream.clone();
     let request = build_request(router, call, upstream, remaining, after);
-    let received = tokio::time::timeout(timeout, receive(router, call, upstream, request)).await;
-    let (outcome, detail) = match received {
-        Ok(Ok(received)) => (handle_response(call, in_flight, received), None),
-        Ok(Err(error)) => (handle_error(in_flight, &error), Some(error.to_string())),
-        Err(_) => {
+    let receiving = receive(router, call, upstream, request);
+    let (outcome, detail) = match await_answer(call, receiving, replace).await {
+        Answer::Received(Ok(received)) => (handle_response(call, in_flight, received), None),
+        Answer::Received(Err(error)) => (handle_error(in_flight, &error), Some(error.to_string())),
+        Answer::Replaced(next) => {
+            in_flight.finish(Outcome::Failed);
+            (SendOutcome::Replaced(next), None)
+        }
+        Answer::Late => {
             in_flight.finish(Outcome::Failed);
             (SendOutcome::Unknown, Some("silent".to_owned()))
         }
@@ -72,6 +80,37 @@
     outcome
 }
 
+/// What a server's response was awaited for.
+enum Answer {
+    Received(Result<ReceivedResponse, SendError>),
+    Replaced(Chosen),
+    /// The deadline has passed.
+    Late,
+}
+
+/// Waits for a response. The connection is closed when this returns without one.
+async fn await_answer(
+    call: &Call,
+    receiving: impl Future<Output = Result<ReceivedResponse, SendError>>,
+    mut replace: impl FnMut() -> Option<Chosen>,
+) -> Answer {
+    let mut receiving = pin!(receiving);
+    let takeover_timeout = call.route.target * TIMEOUT_TARGETS;
+    loop {
+        let remaining = call.remaining(Instant::now());
+        let may_leave = call.route.kind.may_run_again() && takeover_timeout < remaining;
+        let timeout = if may_leave { takeover_timeout } else { remaining };
+        match tokio::time::timeout(timeout, &mut receiving).await {
+            Ok(received) => return Answer::Received(received),
+            Err(_) if !may_leave => return Answer::Late,
+            Err(_) => {}
+        }
+        if let Some(next) = replace() {
+            return Answer::Replaced(next);
+        }
+    }
+}
+
 /// A received response and its classification.
 struct ReceivedResponse {
     class: ResponseClass,
@@ -168,7 +207,7 @@
         match self {
             Self::Response(response) => !response.status().is_server_error(),
             Self::Stream(_) => true,
-            Self::NotRun | Self::Unsent | Self::Unknown => false,
+            Self::NotRun | Self::Unsent | Self::Replaced(_) | Self::Unknown => false,
         }
     }
 
@@ -178,6 +217,7 @@
             Self::Stream(opened) => format!("{} stream", opened.head.status.as_u16()),
             Self::NotRun => "not run".to_owned(),
             Self::Unsent => "not reached".to_owned(),
+            Self::Replaced(_) => "replaced".to_owned(),
             Self::Unknown => "foreign answer".to_owned(),
         }
     }
