Treat a stream that ends inside an event as broken off

Callers got a stream that broke off as a complete one: an upstream may send neither a length nor chunks, so that a closed connection looks like the regular end of the body, and `relay::Stream::finish` passed the incomplete event on as the end.

Fix: the body of a success without a declared length is complete only if it ends after an event. Otherwise it is handled like a broken connection: resumed where the route allows it, else the caller's body is aborted without its final chunk. A body of a declared length is complete with its last byte, and failures have no events, so both stay as they were.

--- a/crates/rosemarypitch-forward/src/events.rs
+++ b/crates/rosemarypitch-forward/src/events.rs
@@ -59,6 +59,11 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
+    /// Whether the bytes received so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        !self.partial.trim_ascii().is_empty()
+    }
+
     /// Whether another upstream can resume: no part of an incomplete event was forwarded.
     pub fn is_resumable(&self) -> bool {
         self.whole_only
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -194,7 +194,7 @@
     let success = head.status.is_success();
     let on_events = progress_callback(router, call, slot.engine.id.clone(), slot.ticket);
     let on_end = move |end, events| finish_stream(slot, end, events, success);
-    let segment = Segment::new(body, exchange.connection, on_events, on_end);
+    let segment = Segment::new(&head, body, exchange.connection, on_events, on_end);
     Ok(OpenStream { head, segment })
 }
 
--- a/crates/rosemarypitch-forward/src/plain/send.rs
+++ b/crates/rosemarypitch-forward/src/plain/send.rs
@@ -183,7 +183,7 @@
                 }
             };
             let Exchange { response, connection } = exchange;
-            let segment = Segment::new(response.into_body(), connection, |_| {}, on_end);
+            let segment = Segment::new(&head, response.into_body(), connection, |_| {}, on_end);
             SendOutcome::Stream(OpenStream { head, segment })
         }
     }
--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -4,6 +4,9 @@
 //! stream early or becomes idle, and the route allows it, another upstream resumes after the
 //! last complete event. The caller sees a single response.
 //!
+//! A stream that ends inside an event has been broken off, also where its connection was closed
+//! in the regular way. A body of a declared length is complete with its last byte.
+//!
 //! An idle upstream may only have paused. Its connection is kept until another upstream is
 //! ready to resume the stream; if none is, or the idle one goes on first, the stream stays
 //! where it is.
@@ -14,7 +17,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Response, response};
+use http::{Response, header, response};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming};
@@ -80,18 +83,21 @@
     body: Incoming,
     /// Number of events in the whole stream after the latest one of this part.
     events: u64,
+    /// Whether the body is complete only if it ends after an event.
+    ends_with_event: bool,
     on_events: OnEvents,
     on_end: Option<OnEnd>,
     _connection: Connection,
 }
 
 impl Segment {
-    /// Wraps a response's body and its connection.
+    /// Wraps the body of the response with a head, and its connection.
     ///
     /// `on_events` is called with the number of events in the whole stream so far, and
     /// `on_end` once when this part of it ends, with that number; it is 0 if this part
     /// had no event.
     pub fn new(
+        head: &response::Parts,
         body: Incoming,
         connection: Connection,
         on_events: impl FnMut(u64) + Send + 'static,
@@ -100,6 +106,8 @@
         Self {
             body,
             events: 0,
+            ends_with_event: head.status.is_success()
+                && !head.headers.contains_key(header::CONTENT_LENGTH),
             on_events: Box::new(on_events),
             on_end: Some(Box::new(on_end)),
             _connection: connection,
@@ -331,6 +339,12 @@
                         Some(frame) => return Poll::Ready(Some(Ok(frame))),
                         None => continue,
                     },
+                    Poll::Ready(None)
+                        if segment.ends_with_event && stream.events.is_inside_event() =>
+                    {
+                        log::info!("call: upstream ended a stream inside an event");
+                        StreamError::Upstream
+                    }
                     Poll::Ready(None) => return Poll::Ready(stream.finish().map(Ok)),
                     Poll::Ready(Some(Err(_))) => StreamError::Upstream,
                     Poll::Pending => {
--- a/crates/rosemarypitch-forward/tests/events.rs
+++ b/crates/rosemarypitch-forward/tests/events.rs
@@ -49,6 +49,26 @@
     assert_eq!(events.finish(), at_end);
 }
 
+/// A stream that ends inside an event looked complete.
+#[rstest]
+#[case::after_an_event("id: 1\ndata: a\n\n", false)]
+#[case::after_blank_lines("id: 1\r\n\r\n\r\n", false)]
+#[case::without_an_event("", false)]
+#[case::inside_a_line("id: 1\n\nda", true)]
+#[case::after_a_line("id: 1\n\ndata: b\n", true)]
+fn the_end_of_a_stream_is_inside_an_event_or_after_one(
+    #[case] stream: &str,
+    #[case] inside: bool,
+    #[values(true, false)] whole_only: bool,
+) {
+    for split in 0..=stream.len() {
+        let mut events = EventFramer::new(whole_only);
+        push(&mut events, &stream[..split]);
+        push(&mut events, &stream[split..]);
+        assert_eq!(events.is_inside_event(), inside, "split at {split}");
+    }
+}
+
 /// A failing upstream may send bytes without end that are no event. They were buffered up to a
 /// limit, and forwarded to the caller beyond it.
 #[test]
