--- a/crates/rosemarypitch-forward/src/events.rs
+++ b/crates/rosemarypitch-forward/src/events.rs
@@ -77,6 +77,11 @@
         self.misplaced
     }
 
+    /// Whether the bytes received so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        !self.partial.trim_ascii().is_empty()
+    }
+
     /// Whether another upstream can resume: no part of an incomplete event was forwarded.
     pub fn is_resumable(&self) -> bool {
         self.whole_only
@@ -87,11 +92,6 @@
         self.resumed
     }
 
-    /// Whether the bytes received end inside an event.
-    pub fn is_partial(&self) -> bool {
-        !self.partial.is_empty()
-    }
-
     /// Takes received bytes and returns those to forward now.
     pub fn push(&mut self, bytes: &Bytes) -> Bytes {
         self.partial.extend_from_slice(bytes);
--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -4,6 +4,9 @@
 //! stream early or becomes idle, and the route allows it, another upstream resumes after the
 //! last complete event. The caller sees a single response.
 //!
+//! A stream that ends inside an event has been broken off, also where its connection was closed
+//! in the regular way. A body of a declared length is complete with its last byte.
+//!
 //! An idle upstream may only have paused. Its connection is kept until another upstream is
 //! ready to resume the stream; if none is, or the idle one goes on first, the stream stays
 //! where it is.
@@ -80,20 +83,21 @@
     body: Incoming,
     /// Number of events in the whole stream after the latest one of this part.
     events: u64,
-    /// Whether the body has neither a length nor chunks, and ends with its connection.
-    unframed: bool,
+    /// Whether the body is complete only if it ends after an event.
+    ends_with_event: bool,
     on_events: OnEvents,
     on_end: Option<OnEnd>,
     _connection: Connection,
 }
 
 impl Segment {
-    /// Wraps a response's body and its connection.
+    /// Wraps the body of the response with a head, and its connection.
     ///
     /// `on_events` is called with the number of events in the whole stream so far, and
     /// `on_end` once when this part of it ends, with that number; it is 0 if this part
     /// had no event.
     pub fn new(
+        head: &response::Parts,
         body: Incoming,
         connection: Connection,
         on_events: impl FnMut(u64) + Send + 'static,
@@ -102,7 +106,8 @@
         Self {
             body,
             events: 0,
-            unframed: false,
+            ends_with_event: head.status.is_success()
+                && !head.headers.contains_key(header::CONTENT_LENGTH),
             on_events: Box::new(on_events),
             on_end: Some(Box::new(on_end)),
             _connection: connection,
@@ -142,10 +147,7 @@
     opened: OpenStream,
     body: impl FnOnce(Segment) -> ResponseBody,
 ) -> Response<ResponseBody> {
-    let OpenStream { head, mut segment } = opened;
-    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-    let framed = framing.iter().any(|name| head.headers.contains_key(name));
-    segment.unframed = head.status.is_success() && !framed;
+    let OpenStream { head, segment } = opened;
     let mut response = Response::new(body(segment));
     *response.status_mut() = head.status;
     *response.headers_mut() = router.dialect.response_headers(&head);
@@ -204,8 +206,6 @@
     policy: Option<ResumePolicy>,
     deadline: Pin<Box<Sleep>>,
     idle_timer: Option<Pin<Box<Sleep>>>,
-    /// Whether the first segment's body ends with its connection.
-    unframed: bool,
 }
 
 enum State {
@@ -224,7 +224,6 @@
         deadline: Instant,
         policy: Option<ResumePolicy>,
     ) -> ResponseBody {
-        let unframed = segment.unframed;
         let idle_timer =
             policy.as_ref().map(|policy| Box::pin(tokio::time::sleep(policy.idle_timeout)));
         Self {
@@ -233,7 +232,6 @@
             policy,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
             idle_timer,
-            unframed,
         }
         .boxed_unsync()
     }
@@ -305,12 +303,6 @@
         (!output.is_empty()).then(|| Frame::data(output))
     }
 
-    /// Whether a segment that has ended lacks the rest of an event. The end of an unframed body
-    /// may be that of its connection, and what another upstream sends has to be whole events.
-    fn is_truncated(&self) -> bool {
-        self.events.is_partial() && (self.unframed || self.events.is_resumed())
-    }
-
     /// Processes the regular end of the stream and returns the rest to forward.
     fn finish(&mut self) -> Option<Frame<Bytes>> {
         if let State::Reading(segment, _) = &mut self.state {
@@ -352,7 +344,13 @@
                         Some(frame) => return Poll::Ready(Some(Ok(frame))),
                         None => continue,
                     },
-                    Poll::Ready(None) if stream.is_truncated() => StreamError::Upstream,
+                    Poll::Ready(None)
+                        if stream.events.is_inside_event()
+                            && (segment.ends_with_event || stream.events.is_resumed()) =>
+                    {
+                        log::info!("call: upstream ended a stream inside an event");
+                        StreamError::Upstream
+                    }
                     Poll::Ready(None) => return Poll::Ready(stream.finish().map(Ok)),
                     Poll::Ready(Some(Err(_))) => StreamError::Upstream,
                     Poll::Pending => {
