Try another upstream where one answers a resumption with an error

What callers saw: a stream that broke off though another upstream could go on with it; and an answer of another content type, made to look like events, in the middle of their stream (MIXED). Cause: an error of an engine, or a 4xx of a plain server, ended the resumption at once, and the engine was not counted as failing; the content type of a success was not looked at.

Any other answer is a failed attempt, reported to the upstream's health, after which the usual rules for retries hold: the route's attempts and the retry budget.

--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -66,7 +66,7 @@
             let opened = open_stream(&router, &call, &mut current, Some(&position)).await;
             *state.lock().unwrap_or_else(|error| error.into_inner()) = current;
             relay::log_resumed(&call, &position, opened.as_ref().err());
-            opened.ok().filter(|opened| opened.head.status.is_success()).map(|o| o.segment)
+            opened.ok().map(|opened| opened.segment)
         });
         Some(resuming)
     });
@@ -166,6 +166,11 @@
 ) -> Result<OpenStream, Refusal> {
     loop {
         let failure = match attempt(router, call, state, after).await {
+            Ok(opened) if after.is_some() && !opened.is_continuation() => {
+                opened.reject();
+                let refusal = Refusal::new(Cause::UpstreamFailed, Ran::Maybe);
+                FailedAttempt { refusal, progress: Progress::Delivered }
+            }
             Ok(opened) => {
                 state.possible_runs += u32::from(!state.same_engine);
                 return Ok(opened);
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -146,13 +146,18 @@
     while let Some(upstream) = choose_upstream(router, call, &state.tried) {
         state.tried.push(upstream.id.clone());
         match send::send(router, call, &upstream, after).await {
+            SendOutcome::Stream(opened) if after.is_some() && !opened.is_continuation() => {
+                state.record_run();
+                opened.reject();
+            }
             SendOutcome::Stream(opened) => {
                 state.record_run();
                 return Ok(Reply::Stream(opened));
             }
             SendOutcome::Response(response) => {
                 state.record_run();
-                let failed = response.status().is_server_error();
+                // A stream that has begun can only go on with a stream.
+                let failed = response.status().is_server_error() || after.is_some();
                 if !failed || !call.route.kind.may_run_again() {
                     return Ok(Reply::Buffered(response));
                 }
--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -29,6 +29,9 @@
 /// Idle timeout on routes without a maximum gap; callers give up after twice this time.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Content type of a stream of events; parameters may follow.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Reason why a response body ends early; hyper then closes the connection without the final
 /// chunk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -117,6 +120,21 @@
     pub segment: Segment,
 }
 
+impl OpenStream {
+    /// Whether the response can go on with a stream that another upstream began.
+    pub fn is_continuation(&self) -> bool {
+        let kind = self.head.headers.get(header::CONTENT_TYPE);
+        let kind = kind.map(|value| value.as_bytes().to_ascii_lowercase());
+        self.head.status.is_success() && kind.is_none_or(|kind| kind.starts_with(EVENT_STREAM))
+    }
+
+    /// Closes the connection and reports the upstream as failed.
+    pub fn reject(mut self) {
+        log::warn!("call: upstream cannot resume the stream status={}", self.head.status);
+        self.segment.end(StreamEnd::Broken(StreamError::Upstream));
+    }
+}
+
 /// Builds the response to the caller from an upstream's head and the body that `body`
 /// creates from its stream.
 pub fn response(
