--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -183,6 +183,11 @@
             Err(failure) => Err(DecodeFailure::Failed(failure)),
         };
         let failure = match opened {
+            Ok(opened) if after.is_some() && !opened.is_continuation() => {
+                opened.reject();
+                let refusal = Refusal::new(Cause::UpstreamFailed, Ran::Maybe);
+                FailedAttempt { refusal, progress: Progress::Delivered }
+            }
             Ok(opened) => {
                 state.possible_runs += u32::from(!state.same_engine);
                 return Ok(opened);
--- a/crates/rosemarypitch-forward/src/generate/resume.rs
+++ b/crates/rosemarypitch-forward/src/generate/resume.rs
@@ -81,7 +81,7 @@
             let opened = open_stream(router, call, &mut state, Some(&position), prepared).await;
             *self.state() = state;
             relay::log_resumed(call, &position, opened.as_ref().err());
-            opened.ok().filter(|opened| opened.head.status.is_success()).map(|o| o.segment)
+            opened.ok().map(|opened| opened.segment)
         })
     }
 }
