Refuse a request whose task panics

What callers saw: a panic in a request's task ended its connection without an answer. Cause: the panic unwound through the connection's task. Fix: admission and service of a request catch a panic, which also releases what the request held, and refuse the request: 503 if no upstream may have run it, else 502, cause=internal. A panic while a stream is relayed still ends its connection.

--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -6,8 +6,11 @@
 //! refusal.
 
 use std::convert::Infallible;
+use std::panic::{self, AssertUnwindSafe};
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -89,7 +92,9 @@
             let attempt = meta.attempt.clone();
             let admitted = tokio::select! {
                 biased;
-                admitted = admit(&router, start, head, &mut body, meta) => admitted,
+                admitted = catch_panic(admit(&router, start, head, &mut body, meta)) => {
+                    admitted.unwrap_or(Err(Refusal::not_run(Cause::Internal)))
+                }
                 () = router.reached(StopPhase::Cutting) => Err(stopping(Ran::No)),
             };
             (attempt, admitted)
@@ -151,13 +156,16 @@
 
 async fn respond(router: &Arc<Router>, call: Call) -> Response<ResponseBody> {
     let call = Arc::new(call);
-    let result = match charge_quota(router, &call) {
-        Ok(()) => tokio::select! {
-            biased;
-            result = run(router, &call) => result,
-            () = router.reached(StopPhase::Cutting) => Err(stopping(call.ran())),
-        },
-        Err(refusal) => Err(refusal),
+    let served = async {
+        charge_quota(router, &call)?;
+        run(router, &call).await
+    };
+    let result = tokio::select! {
+        biased;
+        served = catch_panic(served) => {
+            served.unwrap_or_else(|| Err(Refusal::new(Cause::Internal, call.ran())))
+        }
+        () = router.reached(StopPhase::Cutting) => Err(stopping(call.ran())),
     };
     let now = Instant::now();
     let (service, customer) = (call.service.name.as_ref(), call.customer_name());
@@ -202,6 +210,20 @@
     }
 }
 
+/// Runs a part of a request's task; none if it panics, so that the caller still gets a refusal.
+async fn catch_panic<T>(task: impl Future<Output = T>) -> Option<T> {
+    let mut task = pin!(task);
+    let poll = std::future::poll_fn(|context| {
+        let poll = panic::catch_unwind(AssertUnwindSafe(|| task.as_mut().poll(context)));
+        poll.map_or(Poll::Ready(None), |poll| poll.map(Some))
+    });
+    let result = poll.await;
+    if result.is_none() {
+        log::error!("call: the task of a request panicked");
+    }
+    result
+}
+
 /// Routes and authorizes a request, and reads its body.
 async fn admit(
     router: &Arc<Router>,
--- a/crates/rosemarypitch-forward/src/refusal.rs
+++ b/crates/rosemarypitch-forward/src/refusal.rs
@@ -40,6 +40,8 @@
     Timeout,
     /// This host stops before it could serve the request.
     Stopping,
+    /// The request's task panicked.
+    Internal,
 }
 
 impl Cause {
@@ -58,6 +60,7 @@
             Self::UpstreamFailed => "upstream_failed",
             Self::Timeout => "timeout",
             Self::Stopping => "stopping",
+            Self::Internal => "internal",
         }
     }
 }
--- a/crates/rosemarypitch-forward/tests/refusals.rs
+++ b/crates/rosemarypitch-forward/tests/refusals.rs
@@ -18,7 +18,8 @@
         Cause::NoUpstream,
         Cause::UpstreamFailed,
         Cause::Timeout,
-        Cause::Stopping
+        Cause::Stopping,
+        Cause::Internal
     )]
     cause: Cause,
 ) {
