Take only the start of a request for a request head

A caller whose request was refused before its body had come got a second response, 408, if the body was still arriving at the end of headerTimeoutMs and the slack. An empty line after a request, which some clients send, closed an idle connection at that time. Cause: any byte received after a response started the time of a head. Fix: after a response that closes the connection no head is expected, and empty lines do not start one. A connection also subscribes to the shutdown only once.

--- a/crates/rosemarypitch-forward/src/connection.rs
+++ b/crates/rosemarypitch-forward/src/connection.rs
@@ -9,7 +9,7 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -55,6 +55,7 @@
     let service = service_fn(|request| answer(router.clone(), monitor.clone(), request));
     let io = TokioIo::new(MonitoredStream { stream, monitor: monitor.clone() });
     let mut connection = builder.serve_connection(io, service);
+    let mut finish = pin!(router.reached(StopPhase::Finishing));
     let mut finishing = None;
     let mut closing = false;
     let result = loop {
@@ -78,7 +79,7 @@
                     Pin::new(&mut connection).graceful_shutdown();
                 }
             },
-            () = router.reached(StopPhase::Finishing), if finishing.is_none() => {
+            () = &mut finish, if finishing.is_none() => {
                 finishing = Some(Instant::now());
             }
         }
@@ -99,7 +100,8 @@
     if leaving || router.is_stopping() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response.map(|body| body::with_guard(body, ServingGuard(monitor))))
+    let close = response.headers().get(header::CONNECTION).is_some_and(|value| value == "close");
+    Ok(response.map(|body| body::with_guard(body, ServingGuard { monitor, close })))
 }
 
 /// Time at which the current activity of a connection has lasted too long.
@@ -113,7 +115,7 @@
             None => start + bounds.idle_time + LIMIT_SLACK,
         }),
         Activity::Receiving(start) => Some(start + bounds.header_time + LIMIT_SLACK),
-        Activity::Serving => None,
+        Activity::Serving | Activity::Closing => None,
     }
 }
 
@@ -150,6 +152,8 @@
     Receiving(Instant),
     /// A request is being answered.
     Serving,
+    /// The last response has been sent; the rest of its request may still be arriving.
+    Closing,
 }
 
 /// Current activity of a connection.
@@ -169,9 +173,11 @@
         *self.lock() = activity;
     }
 
-    fn record_bytes(&self) {
+    fn record_bytes(&self, bytes: &[u8]) {
         let mut activity = self.lock();
-        if matches!(*activity, Activity::Idle(_)) {
+        // Empty lines before a request are ignored.
+        let begins = || bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
+        if matches!(*activity, Activity::Idle(_)) && begins() {
             *activity = Activity::Receiving(Instant::now());
         }
     }
@@ -190,12 +196,17 @@
     }
 }
 
-/// Marks a connection as idle again on drop.
-struct ServingGuard(Monitor);
+/// Marks a connection as idle or closing on drop.
+struct ServingGuard {
+    monitor: Monitor,
+    /// Whether the response closes the connection.
+    close: bool,
+}
 
 impl Drop for ServingGuard {
     fn drop(&mut self) {
-        self.0.set(Activity::Idle(Instant::now()));
+        let idle = Activity::Idle(Instant::now());
+        self.monitor.set(if self.close { Activity::Closing } else { idle });
     }
 }
 
@@ -213,9 +224,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.monitor.record_bytes();
-        }
+        self.monitor.record_bytes(&buffer.filled()[before..]);
         result
     }
 }
