Start no request once a stopping host refuses the others

What callers saw: a request that arrived in the last moments of a stopping host was sent to an upstream and cut at once, which answered 502 for what need not have run. Cause: admission came before the check of the shutdown. Fix: the check comes first.

--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -91,11 +91,12 @@
         Ok(meta) => {
             let attempt = meta.attempt.clone();
             let admitted = tokio::select! {
+                // No request starts to run once the others are refused.
                 biased;
+                () = router.reached(StopPhase::Cutting) => Err(stopping(Ran::No)),
                 admitted = catch_panic(admit(&router, start, head, &mut body, meta)) => {
                     admitted.unwrap_or(Err(Refusal::not_run(Cause::Internal)))
                 }
-                () = router.reached(StopPhase::Cutting) => Err(stopping(Ran::No)),
             };
             (attempt, admitted)
         }
--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -31,10 +31,10 @@
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
 /// Time between the refusal of the requests that have no response yet and the end of the grace
 /// period.
-const CUT_MARGIN: Duration = Duration::from_millis(400);
+const CUT_MARGIN: Duration = Duration::from_millis(700);
 /// Time between the cut of the remaining streams and the end of the grace period, in which
 /// callers are notified of the cut.
-const EXIT_MARGIN: Duration = Duration::from_millis(150);
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Time between checks for open connections, and after a failed accept.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time for a request to the readiness or metrics address.
@@ -114,7 +114,10 @@
     wait_closed(open, cut).await;
     if open.load(Ordering::Relaxed) > 0 {
         router.stop_phase.send_replace(StopPhase::Cutting);
-        wait_closed(open, start + grace.saturating_sub(EXIT_MARGIN)).await;
+        // A short grace period may be over.
+        let min_end = Instant::now() + POLL_INTERVAL;
+        let end = start + grace.saturating_sub(EXIT_MARGIN);
+        wait_closed(open, end.max(min_end)).await;
     }
     router.open_calls.log_cut(Instant::now());
     log::info!(
