--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod peer_table;
 pub mod plain;
 pub mod pool;
+pub mod quarantine;
 pub mod quota;
 pub mod refusal;
 pub mod registry;
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -23,6 +23,7 @@
 use crate::layout::Layout;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::quarantine::Quarantine;
 use crate::quota::{self, Quota, QuotaRules, Share};
 use crate::registry::{Upstream, UpstreamRegistry};
 use crate::snapshot::{Snapshot, SnapshotVersion};
@@ -104,6 +105,7 @@
     usage_change: Notify,
     quota: Mutex<Quota>,
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
+    quarantine: Mutex<Quarantine>,
     limits: Mutex<LimitSettings>,
     next_ticket: AtomicU64,
     ready: AtomicBool,
@@ -153,6 +155,7 @@
             usage_change: Notify::new(),
             quota: Mutex::new(quota),
             budgets: Mutex::default(),
+            quarantine: Mutex::default(),
             limits,
             next_ticket: AtomicU64::new(1),
             ready: AtomicBool::new(false),
@@ -401,6 +404,11 @@
         f(&mut lock(&self.quota))
     }
 
+    /// Runs `f` on the quarantine of prompt parts.
+    pub fn with_quarantine<T>(&self, f: impl FnOnce(&mut Quarantine) -> T) -> T {
+        f(&mut lock(&self.quarantine))
+    }
+
     /// Counts a caller's request towards the retry budget of a service.
     pub fn count_request(&self, now: Instant, service: &Arc<str>) {
         self.with_budget(service, |budget| budget.count_request(now));
