--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -63,6 +63,16 @@
     pub fn tokens(&self) -> Tokens {
         self.meta.tokens.unwrap_or_default()
     }
+
+    /// Parts of a model request's prompt that other requests may share, in order.
+    pub fn parts(&self) -> &[Arc<str>] {
+        &self.meta.parts
+    }
+
+    /// The shared parts of the prompt for logs, `-` if there are none.
+    pub fn parts_text(&self) -> String {
+        if self.parts().is_empty() { "-".to_owned() } else { self.parts().join(",") }
+    }
 }
 
 /// Handles one request of a caller.
--- a/crates/rosemarypitch-forward/src/client.rs
+++ b/crates/rosemarypitch-forward/src/client.rs
@@ -167,6 +167,17 @@
     }
 }
 
+/// Whether nothing accepts connections at an address, as after the crash of a process.
+pub async fn is_down(address: SocketAddr) -> bool {
+    match connect(address).await {
+        Ok(_) => false,
+        Err(error) => {
+            log::debug!("client: {error}");
+            true
+        }
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
     let to_error =
         |reason: String| SendError { step: SendStep::Connect, address, reason: Arc::from(reason) };
--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -27,6 +27,8 @@
     pub timeout: Option<Duration>,
     /// Token counts, if this is a model request.
     pub tokens: Option<Tokens>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub parts: Vec<Arc<str>>,
 }
 
 /// Token counts of a model request.
--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -10,6 +10,7 @@
 //! interrupted stream is resumed in the same way: the next engine starts after the last
 //! complete event.
 
+mod crash;
 mod decode;
 mod prefill;
 mod slot;
@@ -30,6 +31,8 @@
 use crate::relay::{self, OpenStream, ResponseBody, ResumePolicy, SegmentFuture, Stream};
 use crate::router::Router;
 
+use crash::PendingCheck;
+
 /// Timeout of control requests, which engines answer immediately.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(400);
 /// `Retry-After` when engines failed rather than were full.
@@ -63,6 +66,7 @@
         }
         let (router, call, state) = (router.clone(), call.clone(), state.clone());
         let resuming: SegmentFuture = Box::pin(async move {
+            current.crash_check.finish().await;
             let opened = open_stream(&router, &call, &mut current, Some(&position)).await;
             *state.lock().unwrap_or_else(|error| error.into_inner()) = current;
             relay::log_resumed(&call, &position, opened.as_ref().err());
@@ -91,6 +95,8 @@
     last_engine: Option<Arc<str>>,
     /// Whether the current attempt goes to the same engine as the previous one.
     same_engine: bool,
+    /// Check of the engine whose stream broke last.
+    crash_check: PendingCheck,
 }
 
 impl Default for RetryState {
@@ -104,6 +110,7 @@
             lost_caches,
             last_engine: None,
             same_engine: false,
+            crash_check: PendingCheck::default(),
         }
     }
 }
@@ -199,13 +206,14 @@
     router.metrics.record_wait(&call.service.name, call.customer_name(), queued.elapsed());
     call::reauthorize(router, call)?;
     log::info!(
-        "call: placed attempt={} route={} engine={} hold={} ticket={} queued_ms={}",
+        "call: placed attempt={} route={} engine={} hold={} ticket={} queued_ms={} parts={}",
         call.meta.attempt,
         call.route.name,
         slot.engine.id,
         slot.reservation.as_deref().unwrap_or("-"),
         slot.ticket,
         queued.elapsed().as_millis(),
+        call.parts_text(),
     );
     state.placements += 1;
     state.same_engine = last_engine.is_some_and(|last_engine| last_engine == slot.engine.id);
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -1,10 +1,12 @@
 //! The decode stage: sends a request to the engine that has its slot and relays the stream.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use super::crash::{self, PendingCheck};
 use super::prefill::KvCache;
 use super::slot::SlotGuard;
 use super::{FAILED_RETRY_AFTER, FailedAttempt, Progress, RetryState, build_request, jitter};
@@ -72,7 +74,11 @@
                     cache.handed_over = false;
                 }
             }
+            let engine = slot.engine.clone();
             slot.finish(DecodeEnd::Failed(outcome));
+            if outcome == Outcome::Failed {
+                crash::check(call, &engine).await;
+            }
             Err(failure)
         }
     }
@@ -134,8 +140,20 @@
         record_prefill(router, call, &prefill_engine, Outcome::Succeeded);
     }
     let success = head.status.is_success();
-    let on_events = progress_callback(router, call, slot.engine.id.clone(), slot.ticket);
-    let on_end = move |end: StreamEnd| finish_stream(slot, end, success);
+    let mut report_progress = progress_callback(router, call, slot.engine.id.clone(), slot.ticket);
+    let began = Arc::new(AtomicBool::new(false));
+    let stream_began = began.clone();
+    let on_events = move |events| {
+        stream_began.store(true, Ordering::Relaxed);
+        report_progress(events);
+    };
+    let crash_check = state.crash_check.clone();
+    let on_end = move |end: StreamEnd| {
+        if success && !began.load(Ordering::Relaxed) {
+            check_engine(&slot, end, &crash_check);
+        }
+        finish_stream(slot, end, success);
+    };
     let segment = Segment::new(body, exchange.connection, on_events, on_end);
     Ok(OpenStream { head, segment })
 }
@@ -162,6 +180,17 @@
     router.with_pool(&call.service.name, |pool| pool.record_outcome(now, prefill_engine, outcome));
 }
 
+/// Checks for a crash of the engine if its connection ended before the first event. The end of
+/// an answer without a length looks like a complete one.
+fn check_engine(slot: &SlotGuard, end: StreamEnd, crash_check: &PendingCheck) {
+    match end {
+        StreamEnd::Complete | StreamEnd::Broken(StreamError::Upstream) => {
+            crash_check.start(&slot.call, &slot.engine);
+        }
+        StreamEnd::Broken(StreamError::Silent | StreamError::Timeout) | StreamEnd::Abandoned => {}
+    }
+}
+
 fn finish_stream(slot: SlotGuard, end: StreamEnd, success: bool) {
     log::info!(
         "call: stream ended attempt={} engine={} end={end:?} age_ms={}",
--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
+use super::crash;
 use super::{RetryState, build_request, send_detached, timeout_refusal};
 use crate::call::Call;
 use crate::client;
@@ -91,6 +92,7 @@
     let request = build_request(router, call, &engine, ServingStage::Prefill, None);
     let exchange = client::send_buffered(engine.address, request);
     let response = tokio::time::timeout(timeout, exchange).await;
+    let mut broken = false;
     let (handle, end, detail) = match response {
         Ok(Ok(response)) => {
             let handle = (response.status() == StatusCode::OK)
@@ -103,7 +105,8 @@
             (handle, end, response.status().to_string())
         }
         Ok(Err(error)) => {
-            let outcome = if error.is_unsent() { Outcome::Unreachable } else { Outcome::Failed };
+            broken = !error.is_unsent();
+            let outcome = if broken { Outcome::Failed } else { Outcome::Unreachable };
             (None, PrefillEnd::Failed(outcome), error.to_string())
         }
         Err(_) => (None, PrefillEnd::Failed(Outcome::Unreachable), "silent".to_owned()),
@@ -116,6 +119,9 @@
         engine.id,
         start.elapsed().as_millis(),
     );
+    if broken {
+        crash::check(call, &engine).await;
+    }
     let handle = handle?;
     let source = KvSource { engine: engine.id.clone(), address: engine.address, handle };
     Some(KvCache { router: router.clone(), engine, source, handed_over: false })
