--- a/crates/rosemarypitch-forward/src/quarantine.rs
+++ b/crates/rosemarypitch-forward/src/quarantine.rs
@@ -7,7 +7,12 @@
 //!
 //! Requests that only happened to wait at a crashed engine leave records too. A crash has one
 //! cause: once a part explains it, the other parts recorded with it are no longer suspected. A
-//! part that an engine has answered since then is not suspected either.
+//! part that an engine has answered shortly before the crash or since then is not suspected
+//! either, and of the parts that explain the same crashes, the one in the fewest requests is.
+//!
+//! Engines also crash for other reasons, many of them at the same moment when a rack loses
+//! power. Two requests with a part in common are then no coincidence, so crashes that follow
+//! each other closely count as one.
 //!
 //! Hosts exchange their records, and each derives the culprits from them by itself.
 
@@ -22,10 +27,19 @@
 const MIN_CRASHES: usize = 2;
 /// The same where several parts that occur in different requests have equally many crashes.
 const MIN_AMBIGUOUS_CRASHES: usize = 3;
+/// Crashes within this time after another one don't count.
+const SIMULTANEOUS: Duration = Duration::from_millis(100);
+/// Shortest time between two crashes of an engine. Its new incarnation may not be known yet.
+const MIN_RESTART: Duration = Duration::from_secs(1);
+/// Time before a crash in which an answer shows that a part isn't its cause.
+const ANSWER_VALIDITY: Duration = Duration::from_secs(10);
 /// Time for which a crash is remembered. After it, a part is tried again.
 const RETENTION: Duration = Duration::from_secs(900);
-/// Largest number of crashes that are remembered; the oldest ones are dropped.
+/// Largest number of crashes that are remembered. The oldest ones without a known cause are
+/// dropped first.
 const MAX_RECORDS: usize = 128;
+/// Largest number of parts whose latest answer is remembered.
+const MAX_ANSWERED: usize = 4_096;
 
 /// A request whose engine crashed before its answer began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,25 +59,42 @@
 /// Recent crashes, and the parts held responsible for them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    records: BTreeMap<u64, Crash>,
-    /// When an answer to a request with a recorded part was last completed.
+    records: BTreeMap<u64, Waiting>,
+    /// When the latest answer to a request with a part was completed.
     answered: HashMap<Arc<str>, Instant>,
-    /// Sets of parts; a request that contains all parts of one is refused.
     culprits: Vec<Culprit>,
 }
 
+/// An engine and its incarnation.
+type EngineRun = (Arc<str>, u64);
+
+/// A crash: the engine, and when the first of its records was made.
+type CrashKey = (EngineRun, Instant);
+
 #[derive(Debug)]
-struct Crash {
-    engine: (Arc<str>, u64),
-    parts: Vec<Arc<str>>,
+struct Waiting {
+    engine: EngineRun,
+    /// Parts that may have caused it.
+    parts: BTreeSet<Arc<str>>,
     at: Instant,
 }
 
+/// Parts held responsible for crashes. A request that contains all of them is refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct Culprit {
-    parts: BTreeSet<Arc<str>>,
-    /// When the latest crash that it explains is forgotten.
-    until: Instant,
+pub struct Culprit {
+    /// The parts.
+    pub parts: BTreeSet<Arc<str>>,
+    /// Number of crashes that count.
+    pub crashes: usize,
+    /// When the latest of them is forgotten.
+    pub until: Instant,
+}
+
+impl std::fmt::Display for Culprit {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let parts: Vec<&str> = self.parts.iter().map(|part| &**part).collect();
+        write!(f, "{}:{}", parts.join("+"), self.crashes)
+    }
 }
 
 impl Quarantine {
@@ -76,29 +107,42 @@
             return false;
         }
         let CrashRecord { id, engine, incarnation, parts, age_ms: _ } = record;
-        self.records.insert(id, Crash { engine: (engine, incarnation), parts, at });
-        while self.records.len() > MAX_RECORDS {
-            let oldest = self.records.iter().min_by_key(|(_, crash)| crash.at).map(|(id, _)| *id);
-            oldest.and_then(|id| self.records.remove(&id));
-        }
+        let is_suspected = |part: &Arc<str>| {
+            self.answered.get(part).is_none_or(|answered| *answered + ANSWER_VALIDITY < at)
+        };
+        let parts = parts.into_iter().filter(is_suspected).collect();
+        self.records.insert(id, Waiting { engine: (engine, incarnation), parts, at });
         self.update(now);
         true
     }
 
     /// Records that the answer to a request with these parts was completed.
     pub fn record_answer(&mut self, now: Instant, parts: &[Arc<str>]) {
-        let mut changed = false;
+        let mut changed = self.culprits.iter().any(|culprit| culprit.until <= now);
         for part in parts {
-            if self.records.values().any(|crash| crash.parts.contains(part)) {
-                self.answered.insert(part.clone(), now);
-                changed = true;
+            for record in self.records.values_mut() {
+                changed |= record.parts.remove(part);
             }
+            self.remember_answer(now, part);
         }
         if changed {
             self.update(now);
         }
     }
 
+    fn remember_answer(&mut self, now: Instant, part: &Arc<str>) {
+        if let Some(answered) = self.answered.get_mut(part) {
+            *answered = now;
+            return;
+        }
+        if self.answered.len() >= MAX_ANSWERED {
+            self.answered.retain(|_, answered| now < *answered + ANSWER_VALIDITY);
+        }
+        if self.answered.len() < MAX_ANSWERED {
+            self.answered.insert(part.clone(), now);
+        }
+    }
+
     /// Time for which requests with these parts are refused; none if they aren't.
     pub fn blocked(&self, now: Instant, parts: &[Arc<str>]) -> Option<Duration> {
         let matching = self.culprits.iter().filter(|culprit| {
@@ -107,25 +151,31 @@
         matching.map(|culprit| culprit.until - now).max()
     }
 
-    /// All records, for another host.
+    /// The records that name a suspected part, for another host.
     pub fn records(&self, now: Instant) -> Vec<CrashRecord> {
-        let live = self.records.iter().filter(|(_, crash)| !crash.is_expired(now));
-        let records = live.map(|(id, crash)| CrashRecord {
+        let live = self.records.iter().filter(|(_, record)| !record.is_expired(now));
+        let named = live.filter(|(_, record)| !record.parts.is_empty());
+        let records = named.map(|(id, record)| CrashRecord {
             id: *id,
-            engine: crash.engine.0.clone(),
-            incarnation: crash.engine.1,
-            parts: crash.parts.clone(),
-            age_ms: now.saturating_duration_since(crash.at).as_millis() as u64,
+            engine: record.engine.0.clone(),
+            incarnation: record.engine.1,
+            parts: record.parts.iter().cloned().collect(),
+            age_ms: now.saturating_duration_since(record.at).as_millis() as u64,
         });
         records.collect()
     }
 
     /// Equal at two hosts that have the same records; 0 without records.
     pub fn digest(&self, now: Instant) -> u64 {
-        let live = self.records.iter().filter(|(_, crash)| !crash.is_expired(now));
+        let live = self.records.iter().filter(|(_, record)| !record.is_expired(now));
         live.fold(0, |digest, (id, _)| digest ^ id)
     }
 
+    /// The parts that are held responsible.
+    pub fn culprits(&self) -> &[Culprit] {
+        &self.culprits
+    }
+
     /// Number of sets of parts that are held responsible.
     pub fn culprit_count(&self) -> usize {
         self.culprits.len()
@@ -133,58 +183,90 @@
 
     /// Derives the culprits from the records.
     fn update(&mut self, now: Instant) {
-        self.records.retain(|_, crash| !crash.is_expired(now));
-        let records = &self.records;
-        self.answered.retain(|part, _| records.values().any(|crash| crash.parts.contains(part)));
+        self.records.retain(|_, record| !record.is_expired(now));
         self.culprits.clear();
+        let crashes = self.crashes();
         let mut explained = BTreeSet::new();
         loop {
-            let groups = self.leading_groups(&explained);
-            let crashes = groups.first().map_or(0, |group| group.engines.len());
+            let groups = self.leading_groups(&crashes, &explained);
+            let count = groups.first().map_or(0, Group::crash_count);
             let needed = if groups.len() > 1 { MIN_AMBIGUOUS_CRASHES } else { MIN_CRASHES };
-            if crashes < needed {
-                return;
+            if count < needed {
+                break;
             }
             for group in groups {
-                explained.extend(group.engines.iter().cloned());
-                self.culprits.push(Culprit { parts: group.parts, until: group.last + RETENTION });
+                let until = group.last() + RETENTION;
+                explained.extend(group.crashes);
+                self.culprits.push(Culprit { parts: group.parts, crashes: count, until });
             }
         }
+        while self.records.len() > MAX_RECORDS {
+            let first = |(id, record): &(&u64, &Waiting)| {
+                let is_explained = crashes.get(id).is_some_and(|crash| explained.contains(crash));
+                (is_explained && !record.parts.is_empty(), record.at)
+            };
+            let oldest = self.records.iter().min_by_key(first).map(|(id, _)| *id);
+            oldest.and_then(|id| self.records.remove(&id));
+        }
+    }
+
+    /// The crash to which each record belongs.
+    fn crashes(&self) -> BTreeMap<u64, CrashKey> {
+        let mut records: Vec<(&u64, &Waiting)> = self.records.iter().collect();
+        records.sort_by_key(|(_, record)| (&record.engine, record.at));
+        let mut crashes = BTreeMap::new();
+        let mut last: Option<CrashKey> = None;
+        for (id, record) in records {
+            let same = last.take().filter(|(engine, start)| {
+                *engine == record.engine && record.at < *start + MIN_RESTART
+            });
+            let crash = same.unwrap_or_else(|| (record.engine.clone(), record.at));
+            crashes.insert(*id, crash.clone());
+            last = Some(crash);
+        }
+        crashes
     }
 
     /// The parts with the most crashes that are not yet explained, grouped by the records that
     /// they occur in.
-    fn leading_groups(&self, explained: &BTreeSet<(Arc<str>, u64)>) -> Vec<Group> {
+    fn leading_groups(
+        &self,
+        crashes: &BTreeMap<u64, CrashKey>,
+        explained: &BTreeSet<CrashKey>,
+    ) -> Vec<Group> {
         let mut by_part: BTreeMap<&Arc<str>, BTreeSet<u64>> = BTreeMap::new();
-        for (id, crash) in &self.records {
-            if explained.contains(&crash.engine) {
-                continue;
-            }
-            for part in &crash.parts {
-                if self.answered.get(part).is_none_or(|answered| *answered < crash.at) {
+        for (id, record) in &self.records {
+            if crashes.get(id).is_some_and(|crash| !explained.contains(crash)) {
+                for part in &record.parts {
                     by_part.entry(part).or_default().insert(*id);
                 }
             }
         }
-        let mut groups: BTreeMap<BTreeSet<u64>, BTreeSet<Arc<str>>> = BTreeMap::new();
+        let mut by_ids: BTreeMap<BTreeSet<u64>, BTreeSet<Arc<str>>> = BTreeMap::new();
         for (part, ids) in by_part {
-            groups.entry(ids).or_default().insert(part.clone());
+            by_ids.entry(ids).or_default().insert(part.clone());
         }
-        let groups: Vec<Group> =
-            groups.into_iter().map(|(ids, parts)| self.group(&ids, parts)).collect();
-        let most = groups.iter().map(|group| group.engines.len()).max().unwrap_or(0);
-        groups.into_iter().filter(|group| group.engines.len() == most).collect()
-    }
-
-    fn group(&self, ids: &BTreeSet<u64>, parts: BTreeSet<Arc<str>>) -> Group {
-        let crashes = || ids.iter().filter_map(|id| self.records.get(id));
-        let engines = crashes().map(|crash| crash.engine.clone()).collect();
-        let last = crashes().map(|crash| crash.at).max().unwrap_or_else(Instant::now);
-        Group { parts, engines, last }
+        let groups = by_ids.into_iter().map(|(ids, parts)| {
+            let crashes = ids.iter().filter_map(|id| crashes.get(id).cloned()).collect();
+            Group { parts, ids, crashes }
+        });
+        let groups: Vec<Group> = groups.collect();
+        let most = groups.iter().map(Group::crash_count).max().unwrap_or(0);
+        if most < MIN_CRASHES {
+            return Vec::new();
+        }
+        let (leading, _): (Vec<Group>, Vec<Group>) =
+            groups.into_iter().partition(|group| group.crash_count() == most);
+        // A part that occurs in further requests, but explains no more crashes, is common.
+        let is_common = |group: &Group| {
+            leading.iter().any(|other| other.ids != group.ids && other.ids.is_subset(&group.ids))
+        };
+        let common: Vec<bool> = leading.iter().map(is_common).collect();
+        leading.into_iter().zip(common).filter(|(_, common)| !common).map(|(g, _)| g).collect()
     }
 }
 
-impl Crash {
+impl Waiting {
     fn is_expired(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.at) >= RETENTION
     }
@@ -194,8 +276,28 @@
 #[derive(Debug)]
 struct Group {
     parts: BTreeSet<Arc<str>>,
-    /// The engines that crashed under them.
-    engines: BTreeSet<(Arc<str>, u64)>,
-    /// When the latest of them crashed.
-    last: Instant,
+    ids: BTreeSet<u64>,
+    /// The crashes to which those records belong.
+    crashes: BTreeSet<CrashKey>,
+}
+
+impl Group {
+    /// Number of crashes, of which simultaneous ones count once.
+    fn crash_count(&self) -> usize {
+        let times: BTreeSet<Instant> = self.crashes.iter().map(|(_, at)| *at).collect();
+        let mut counted: Option<Instant> = None;
+        let mut count = 0;
+        for at in times {
+            if counted.is_none_or(|last| at >= last + SIMULTANEOUS) {
+                counted = Some(at);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// When the latest crash was.
+    fn last(&self) -> Instant {
+        self.crashes.iter().map(|(_, at)| *at).max().unwrap_or_else(Instant::now)
+    }
 }
