Quarantine of prompt parts that crash engines

Streams of other requests at these engines broke. Cause: each request was judged alone. Nothing linked two requests that crashed an engine, and each one was resumed at the next engine (up to two engines a request). Class: poison requests without quarantine. Change: each confirmed crash is recorded with the prompt's parts before the request is retried or resumed. Requests with a culprit get 503 with Retry-After, also after the queue and the prefill; what may have run gets 502. They use no slot, prefill or retry budget. A complete answer clears its parts. Why it works: a request is only sent on after its crash is recorded, so the second crash at a host blocks the part there; sound requests lack the part, or have been answered with theirs.

--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -61,12 +61,12 @@
     let state = Arc::new(Mutex::new(state));
     let next = Box::new(move |position: Position| {
         let mut current = state.lock().unwrap_or_else(|error| error.into_inner()).clone();
-        if !current.may_retry(&router, &call, Progress::Delivered) {
-            return None;
-        }
         let (router, call, state) = (router.clone(), call.clone(), state.clone());
         let resuming: SegmentFuture = Box::pin(async move {
             current.crash_check.finish().await;
+            if !current.may_retry(&router, &call, Progress::Delivered) {
+                return None;
+            }
             let opened = open_stream(&router, &call, &mut current, Some(&position)).await;
             *state.lock().unwrap_or_else(|error| error.into_inner()) = current;
             relay::log_resumed(&call, &position, opened.as_ref().err());
@@ -160,6 +160,9 @@
         if progress == Progress::NoRetry || !allowed || !left || call.remaining(now).is_zero() {
             return false;
         }
+        if crash::refuse_culprit(router, call).is_err() {
+            return false;
+        }
         progress == Progress::Unsent || router.take_retry(now, &call.service.name)
     }
 }
@@ -199,6 +202,7 @@
     state: &mut RetryState,
     after: Option<&Position>,
 ) -> Result<OpenStream, FailedAttempt> {
+    crash::refuse_culprit(router, call)?;
     let queued = Instant::now();
     let requeued = state.placements > 0 || after.is_some();
     let last_engine = state.last_engine.take();
@@ -220,6 +224,7 @@
     state.last_engine = (!state.same_engine).then(|| slot.engine.id.clone());
     let source =
         if state.same_engine { None } else { prefill::prefill(router, call, state).await? };
+    crash::refuse_culprit(router, call)?;
     decode::decode(router, call, state, slot, source, after).await
 }
 
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -77,7 +77,7 @@
             let engine = slot.engine.clone();
             slot.finish(DecodeEnd::Failed(outcome));
             if outcome == Outcome::Failed {
-                crash::check(call, &engine).await;
+                crash::check(router, call, &engine).await;
             }
             Err(failure)
         }
@@ -149,8 +149,9 @@
     };
     let crash_check = state.crash_check.clone();
     let on_end = move |end: StreamEnd| {
-        if success && !began.load(Ordering::Relaxed) {
-            check_engine(&slot, end, &crash_check);
+        if success {
+            let began = began.load(Ordering::Relaxed);
+            record_end(&slot, end, began, &crash_check);
         }
         finish_stream(slot, end, success);
     };
@@ -180,14 +181,19 @@
     router.with_pool(&call.service.name, |pool| pool.record_outcome(now, prefill_engine, outcome));
 }
 
-/// Checks for a crash of the engine if its connection ended before the first event. The end of
-/// an answer without a length looks like a complete one.
-fn check_engine(slot: &SlotGuard, end: StreamEnd, crash_check: &PendingCheck) {
+/// Records a complete answer to a prompt, or checks whether the engine has crashed before the
+/// first event. The end of an answer without a length then looks like a complete one.
+fn record_end(slot: &SlotGuard, end: StreamEnd, began: bool, crash_check: &PendingCheck) {
     match end {
-        StreamEnd::Complete | StreamEnd::Broken(StreamError::Upstream) => {
-            crash_check.start(&slot.call, &slot.engine);
+        StreamEnd::Complete if began => {
+            let parts = slot.call.parts();
+            slot.router
+                .with_quarantine(|quarantine| quarantine.record_answer(Instant::now(), parts));
         }
-        StreamEnd::Broken(StreamError::Silent | StreamError::Timeout) | StreamEnd::Abandoned => {}
+        StreamEnd::Complete | StreamEnd::Broken(StreamError::Upstream) if !began => {
+            crash_check.start(&slot.router, &slot.call, &slot.engine);
+        }
+        StreamEnd::Complete | StreamEnd::Broken(_) | StreamEnd::Abandoned => {}
     }
 }
 
--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -59,6 +59,7 @@
         if call.remaining(now).is_zero() {
             return Err(timeout_refusal());
         }
+        crash::refuse_culprit(router, call)?;
         let retry = round > 0 || state.prefilled;
         if retry && !router.take_retry(now, &call.service.name) {
             return Ok(None);
@@ -120,7 +121,7 @@
         start.elapsed().as_millis(),
     );
     if broken {
-        crash::check(call, &engine).await;
+        crash::check(router, call, &engine).await;
     }
     let handle = handle?;
     let source = KvSource { engine: engine.id.clone(), address: engine.address, handle };
--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
+use super::crash;
 use super::{COMMAND_TIMEOUT, FAILED_RETRY_AFTER, jitter, send_detached, timeout_error};
 use crate::call::Call;
 use crate::client::{self, SendError};
@@ -95,6 +96,7 @@
             start: Instant::now(),
             end: DecodeEnd::Cancelled,
         };
+        crash::refuse_culprit(router, call)?;
         match reserve_slot(router, call, &slot.engine, &request).await {
             Ok(Some(reservation)) => {
                 slot.reservation = Some(reservation);
--- a/crates/rosemarypitch-forward/src/refusal.rs
+++ b/crates/rosemarypitch-forward/src/refusal.rs
@@ -38,6 +38,8 @@
     UpstreamFailed,
     /// The request timed out.
     Timeout,
+    /// A part of the prompt crashes engines.
+    Quarantined,
 }
 
 impl Cause {
@@ -55,6 +57,7 @@
             Self::NoUpstream => "no_upstream",
             Self::UpstreamFailed => "upstream_failed",
             Self::Timeout => "timeout",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -406,7 +406,16 @@
 
     /// Runs `f` on the quarantine of prompt parts.
     pub fn with_quarantine<T>(&self, f: impl FnOnce(&mut Quarantine) -> T) -> T {
-        f(&mut lock(&self.quarantine))
+        let mut quarantine = lock(&self.quarantine);
+        let before = quarantine.culprits().to_vec();
+        let result = f(&mut quarantine);
+        if quarantine.culprits() != before {
+            let culprits = quarantine.culprits().iter();
+            let culprits: Vec<String> = culprits.map(|culprit| culprit.to_string()).collect();
+            log::warn!("quarantine: culprits changed now=[{}]", culprits.join(" "));
+            self.metrics.set_gauge("culprits", quarantine.culprit_count() as u64);
+        }
+        result
     }
 
     /// Counts a caller's request towards the retry budget of a service.
--- a/crates/rosemarypitch-forward/tests/refusals.rs
+++ b/crates/rosemarypitch-forward/tests/refusals.rs
@@ -17,7 +17,8 @@
         Cause::Busy,
         Cause::NoUpstream,
         Cause::UpstreamFailed,
-        Cause::Timeout
+        Cause::Timeout,
+        Cause::Quarantined
     )]
     cause: Cause,
 ) {
