Only a refused connection confirms the crash of an engine

Cause: found by reading. A connection that is not made in time, or fails for want of descriptors or of a route, counted as a crash, so a cut or lossy link could have held sound parts responsible. Change: the check confirms a crash if the connection is refused, and nothing else. No test of its own: loopback makes no connection time out.

--- a/crates/rosemarypitch-forward/src/client.rs
+++ b/crates/rosemarypitch-forward/src/client.rs
@@ -6,6 +6,7 @@
 //! [`Exchange`] closes its connection at once, which signals to the upstream that the
 //! caller has disconnected.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -167,14 +168,15 @@
     }
 }
 
-/// Whether nothing accepts connections at an address, as after the crash of a process.
-pub async fn is_down(address: SocketAddr) -> bool {
-    match connect(address).await {
-        Ok(_) => false,
-        Err(error) => {
-            log::debug!("client: {error}");
-            true
+/// Whether connections to an address are refused, as after the crash of a process. No connection
+/// in time, or any other error, may have its cause in the network or in this host.
+pub async fn is_refused(address: SocketAddr) -> bool {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => {
+            log::debug!("client: check of {address}: {error}");
+            error.kind() == io::ErrorKind::ConnectionRefused
         }
+        Ok(Ok(_)) | Err(_) => false,
     }
 }
 
--- a/crates/rosemarypitch-forward/src/generate/crash.rs
+++ b/crates/rosemarypitch-forward/src/generate/crash.rs
@@ -1,7 +1,7 @@
 //! Detection of engines that crash under a request, and refusal of the requests that cause it.
 //!
 //! Engines in trouble break single connections and still run, so a broken connection is
-//! followed by a new one: only an engine that does not accept it has crashed.
+//! followed by a new one: only an engine that refuses it has crashed.
 
 use std::sync::{Arc, Mutex};
 
@@ -32,7 +32,7 @@
 /// Checks whether an engine has crashed under a request whose connection broke before the
 /// answer began, and records it.
 pub async fn check(router: &Router, call: &Call, engine: &Upstream) {
-    if !client::is_down(engine.address).await {
+    if !client::is_refused(engine.address).await {
         return;
     }
     log::info!(
