A part is refused for 60 s after two crashes, and for 900 s after more

Cause: found by reading. Two ordinary crashes under requests with a rare part in common hold it responsible, and as it is refused, no answer can clear it: requests with it were refused for 900 s. Change: after the fewest crashes the block ends after 60 s; a further crash extends it to 900 s.

--- a/crates/rosemarypitch-forward/src/quarantine.rs
+++ b/crates/rosemarypitch-forward/src/quarantine.rs
@@ -33,8 +33,11 @@
 const MIN_RESTART: Duration = Duration::from_secs(1);
 /// Time before a crash in which an answer shows that a part isn't its cause.
 const ANSWER_VALIDITY: Duration = Duration::from_secs(10);
-/// Time for which a crash is remembered. After it, a part is tried again.
+/// Time for which a crash is remembered, and for which a culprit is refused after its last crash.
 const RETENTION: Duration = Duration::from_secs(900);
+/// Time after the last of [`MIN_CRASHES`] crashes for which their culprit is refused. They may be a
+/// coincidence; a deadly part crashes one more engine after this time.
+const FIRST_BLOCK: Duration = Duration::from_secs(60);
 /// Largest number of crashes that are remembered. The oldest ones without a known cause are
 /// dropped first.
 const MAX_RECORDS: usize = 128;
@@ -86,7 +89,7 @@
     pub parts: BTreeSet<Arc<str>>,
     /// Number of crashes that count.
     pub crashes: usize,
-    /// When the latest of them is forgotten.
+    /// When requests are no longer refused.
     pub until: Instant,
 }
 
@@ -195,7 +198,7 @@
                 break;
             }
             for group in groups {
-                let until = group.last() + RETENTION;
+                let until = group.last() + block_time(count);
                 explained.extend(group.crashes);
                 self.culprits.push(Culprit { parts: group.parts, crashes: count, until });
             }
@@ -266,6 +269,11 @@
     }
 }
 
+/// Time for which a part is refused after the last of so many crashes.
+fn block_time(crashes: usize) -> Duration {
+    if crashes <= MIN_CRASHES { FIRST_BLOCK } else { RETENTION }
+}
+
 impl Waiting {
     fn is_expired(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.at) >= RETENTION
--- a/crates/rosemarypitch-forward/tests/quarantine.rs
+++ b/crates/rosemarypitch-forward/tests/quarantine.rs
@@ -12,6 +12,8 @@
 
 /// Time after which a crash is forgotten.
 const RETENTION: Duration = Duration::from_secs(900);
+/// Time for which a part is refused after two crashes.
+const FIRST_BLOCK: Duration = Duration::from_secs(60);
 
 /// A request that waited at an engine when it crashed.
 #[derive(Clone, Copy)]
@@ -218,6 +220,17 @@
     assert!(!scene.quarantine.add(scene.at(0), old));
 }
 
+#[test]
+fn a_part_is_refused_for_a_shorter_time_after_two_crashes_than_after_three() {
+    let mut scene = Scene::new();
+    scene.crash_all(&DIFFERENT[..2]);
+    let end = 1_000 + FIRST_BLOCK.as_millis() as u64;
+    assert!(scene.is_blocked(end - 1, "bad"));
+    assert!(!scene.is_blocked(end, "bad"));
+    scene.crash(waiting(end, "c", "h bad"));
+    assert_eq!(scene.quarantine.blocked(scene.at(end), &parts("bad")), Some(RETENTION));
+}
+
 /// Hosts receive records and answers of others in any order, some records repeatedly.
 #[rstest]
 fn records_in_any_order_give_the_same_culprits(
