A culprit stays one when a later coincidence ties with it

Cause: the part of sound requests that waited at the second crash and at a third one, whose deadly request had come at another host, then had as many crashes; a tie of two at two crashes blocks neither. Change: of parts with equally many crashes, those that had them first are held responsible, and the crashes that they explain count for no other; only those that got them at the same crash are ambiguous.

--- a/crates/rosemarypitch-forward/src/quarantine.rs
+++ b/crates/rosemarypitch-forward/src/quarantine.rs
@@ -8,7 +8,8 @@
 //! Requests that only happened to wait at a crashed engine leave records too. A crash has one
 //! cause: once a part explains it, the other parts recorded with it are no longer suspected. A
 //! part that an engine has answered shortly before the crash or since then is not suspected
-//! either, and of the parts that explain the same crashes, the one in the fewest requests is.
+//! either. Of the parts that explain equally many crashes, the one that did so first is suspected,
+//! and not one that occurs in further requests.
 //!
 //! Engines also crash for other reasons, many of them at the same moment when a rack loses
 //! power. Two requests with a part in common are then no coincidence, so crashes that follow
@@ -265,7 +266,11 @@
             leading.iter().any(|other| other.ids != group.ids && other.ids.is_subset(&group.ids))
         };
         let common: Vec<bool> = leading.iter().map(is_common).collect();
-        leading.into_iter().zip(common).filter(|(_, common)| !common).map(|(g, _)| g).collect()
+        let mut leading: Vec<Group> =
+            leading.into_iter().zip(common).filter(|(_, common)| !common).map(|(g, _)| g).collect();
+        let first = leading.iter().filter_map(|group| group.counted().last().copied()).min();
+        leading.retain(|group| group.counted().last().copied() == first);
+        leading
     }
 }
 
@@ -290,18 +295,21 @@
 }
 
 impl Group {
-    /// Number of crashes, of which simultaneous ones count once.
-    fn crash_count(&self) -> usize {
+    /// Times of its crashes, of which simultaneous ones count once.
+    fn counted(&self) -> Vec<Instant> {
         let times: BTreeSet<Instant> = self.crashes.iter().map(|(_, at)| *at).collect();
-        let mut counted: Option<Instant> = None;
-        let mut count = 0;
+        let mut counted: Vec<Instant> = Vec::new();
         for at in times {
-            if counted.is_none_or(|last| at >= last + SIMULTANEOUS) {
-                counted = Some(at);
-                count += 1;
+            if counted.last().is_none_or(|last| at >= *last + SIMULTANEOUS) {
+                counted.push(at);
             }
         }
-        count
+        counted
+    }
+
+    /// Number of crashes that count.
+    fn crash_count(&self) -> usize {
+        self.counted().len()
     }
 
     /// When the latest crash was.
--- a/crates/rosemarypitch-forward/tests/quarantine.rs
+++ b/crates/rosemarypitch-forward/tests/quarantine.rs
@@ -104,6 +104,14 @@
     waiting(1_001, "b", "g u"),
     waiting(2_000, "c", "f bad"),
 ];
+/// A sound request waits at the second crash, and another one with its part at the third, of
+/// which the deadly request is not known here.
+const LATER_TIE: &[Waiting] = &[
+    waiting(0, "a", "f bad"),
+    waiting(1_000, "b", "f bad"),
+    waiting(1_001, "b", "u"),
+    waiting(2_000, "c", "u"),
+];
 /// Two parts, each of which crashes engines.
 const TWO_CULPRITS: &[Waiting] = &[
     waiting(0, "a", "f bad"),
@@ -123,6 +131,7 @@
 #[case::common_first_part(COMMON_FIRST, &["f bad", "h bad"], &["f u", "f w", "f"])]
 #[case::sound_request_sent_twice(SOUND_RETRIED, &["h bad"], &["g u", "f", "g"])]
 #[case::ambiguous(&SOUND_RETRIED[..4], &[], &["f bad", "g u", "g", "f"])]
+#[case::later_tie(LATER_TIE, &["f bad"], &["u", "f u"])]
 #[case::two_culprits(TWO_CULPRITS, &["h bad", "h u"], &["f", "g", "f g"])]
 #[case::one_engine_again(&[waiting(0, "a", "f bad"), waiting(3_000, "a", "g bad")],
     &["bad", "h bad"], &["f", "g"])]
@@ -234,7 +243,7 @@
 /// Hosts receive records and answers of others in any order, some records repeatedly.
 #[rstest]
 fn records_in_any_order_give_the_same_culprits(
-    #[values(BYSTANDERS, COMMON_FIRST, SOUND_RETRIED, TWO_CULPRITS, DIFFERENT)]
+    #[values(BYSTANDERS, LATER_TIE, COMMON_FIRST, SOUND_RETRIED, TWO_CULPRITS, DIFFERENT)]
     crashes: &[Waiting],
     #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
 ) {
