Hosts tell each other of the crashes that they have seen

Cause: nothing about crashed engines was exchanged; each host judged alone. Change: a host remembers which records each peer has, and sends or offers it the others: crash_exchange.rs (pure), gossip/crashes.rs (the exchanges), Router::record_crash (wakes them). New last variants PeerRequest::Crashes and PeerReply::Crashes; reports and protocol version are unchanged, so that hosts of the release before go on exchanging reports with new ones. Why it works: each pair of reachable peers is repeated until acknowledged, per run of the peer, so lost exchanges, restarts and ended partitions are made up for; what comes from another row is sent on at once, so two exchanges reach all hosts.

--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -1,4 +1,6 @@
-//! Exchanges of reports and store state with the other hosts.
+//! Exchanges of reports, store state and crash records with the other hosts.
+
+mod crashes;
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -16,6 +18,7 @@
 
 use crate::announce::HostEntry;
 use crate::counters::TokenDeltas;
+use crate::crash_exchange::CrashExchange;
 use crate::peer_table::{self, LocalUsage, PeerTable};
 use crate::quota::Share;
 use crate::remote_rows::ROW_INTERVAL;
@@ -43,6 +46,8 @@
     table: Mutex<PeerTable>,
     /// Hosts with which an exchange is in progress.
     in_progress: Mutex<HashSet<Arc<str>>>,
+    /// Which crash records the other hosts have.
+    crashes: Mutex<CrashExchange>,
     /// Notified when a report arrives.
     reported: Notify,
     /// Client for calls to the other hosts, once this host may call them.
@@ -57,9 +62,16 @@
         let host = router.settings.host.clone();
         let id = HostId { host: host.clone(), incarnation: incarnation() };
         let table = Mutex::new(PeerTable::new(host, router.settings.zone.clone(), id.incarnation));
-        let (in_progress, reported) = (Mutex::default(), Notify::new());
-        let (client, relay_failed) = (OnceLock::new(), Mutex::default());
-        Arc::new(Self { router, id, table, in_progress, reported, client, relay_failed })
+        Arc::new(Self {
+            router,
+            id,
+            table,
+            in_progress: Mutex::default(),
+            crashes: Mutex::default(),
+            reported: Notify::new(),
+            client: OnceLock::new(),
+            relay_failed: Mutex::default(),
+        })
     }
 
     /// Adds a host, or updates its entry from the store.
@@ -74,7 +86,9 @@
     /// Removes a host whose entry has expired, unless it is still reachable.
     pub fn remove_host(&self, host: &str) {
         let now = Instant::now();
-        self.lock().remove(now, host);
+        if self.lock().remove(now, host) {
+            lock(&self.crashes).remove(host);
+        }
         self.update_share(now);
     }
 
@@ -109,6 +123,7 @@
         tokio::spawn(self.clone().push(peers.clone()));
         tokio::spawn(self.clone().sync_while_lost(peers.clone()));
         tokio::spawn(self.clone().exchange_with_partners(peers.clone()));
+        tokio::spawn(self.clone().share_crashes(peers.clone()));
         tokio::spawn(self.clone().run_pool_updates());
         let mut due = Instant::now();
         loop {
@@ -317,12 +332,14 @@
 
     fn receive_report(&self, from: &Arc<str>, report: HostReport, mutual: bool) {
         let now = Instant::now();
+        lock(&self.crashes).observe(from, report.id.incarnation);
         let deltas = self.lock().apply_report(now, from, report, mutual);
         self.apply_deltas(now, deltas);
     }
 
     fn receive_row_report(&self, from: &Arc<str>, report: RowReport) {
         let now = Instant::now();
+        lock(&self.crashes).observe(from, report.id.incarnation);
         let deltas = self.lock().apply_row_report(now, from, report);
         self.apply_deltas(now, deltas);
     }
@@ -428,6 +445,9 @@
                     let wait = Duration::from_millis(wait_ms).min(watchers::RELAY_TIME);
                     PeerReply::Updates(self.encoded_updates(revision, wait).await)
                 }
+                PeerRequest::Crashes(batch) => {
+                    PeerReply::Crashes(self.receive_crashes(from, &batch))
+                }
                 _ => PeerReply::NotOwner,
             }
         })
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -9,9 +9,10 @@
 //! upstreams, and [`health`] rates them by the outcomes of their requests.
 //!
 //! [`peer_table`], [`remote_rows`], [`layout`] and [`counters`] hold the state that hosts
-//! exchange, [`watchers`] shares the watches of the store, [`outsiders`] decides which parts of the limits a host may use, and [`gossip`]
-//! runs the exchanges. [`control`] follows the store. [`deployment`]
-//! defines the interface to the deployment.
+//! exchange, [`crash_exchange`] selects the crash records that they send each other,
+//! [`watchers`] shares the watches of the store, [`outsiders`] decides which parts of the
+//! limits a host may use, and [`gossip`] runs the exchanges. [`control`] follows the store.
+//! [`deployment`] defines the interface to the deployment.
 
 pub mod announce;
 pub mod balance;
@@ -22,6 +23,7 @@
 pub mod config;
 pub mod control;
 pub mod counters;
+pub mod crash_exchange;
 pub mod deployment;
 pub mod events;
 pub mod generate;
--- a/crates/rosemarypitch-forward/src/peer_table.rs
+++ b/crates/rosemarypitch-forward/src/peer_table.rs
@@ -128,13 +128,16 @@
         }
     }
 
-    /// Removes a host whose entry has expired, unless it is still reachable.
-    pub fn remove(&mut self, now: Instant, host: &str) {
+    /// Removes a host whose entry has expired, unless it is still reachable; true if it was
+    /// removed.
+    pub fn remove(&mut self, now: Instant, host: &str) -> bool {
         let interval = self.interval();
-        if self.hosts.get(host).is_some_and(|peer| !peer.is_reachable(now, interval)) {
+        let expired = self.hosts.get(host).is_some_and(|peer| !peer.is_reachable(now, interval));
+        if expired {
             self.hosts.remove(host);
             self.layout_stale = true;
         }
+        expired
     }
 
     /// Recomputes the layout if hosts have been added or removed.
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -19,11 +19,12 @@
 use crate::budget::{RepeatRules, RetryBudget};
 use crate::config::ConfigSnapshot;
 use crate::control;
+use crate::crash_exchange;
 use crate::deployment::{Dialect, Directory, Update, Updates};
 use crate::layout::Layout;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::quarantine::Quarantine;
+use crate::quarantine::{CrashRecord, Quarantine};
 use crate::quota::{self, Quota, QuotaRules, Share};
 use crate::registry::{Upstream, UpstreamRegistry};
 use crate::snapshot::{Snapshot, SnapshotVersion};
@@ -106,6 +107,7 @@
     quota: Mutex<Quota>,
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
     quarantine: Mutex<Quarantine>,
+    crash_change: Notify,
     limits: Mutex<LimitSettings>,
     next_ticket: AtomicU64,
     ready: AtomicBool,
@@ -156,6 +158,7 @@
             quota: Mutex::new(quota),
             budgets: Mutex::default(),
             quarantine: Mutex::default(),
+            crash_change: Notify::new(),
             limits,
             next_ticket: AtomicU64::new(1),
             ready: AtomicBool::new(false),
@@ -409,6 +412,29 @@
         f(&mut lock(&self.quarantine))
     }
 
+    /// Records a crash that this host has seen, to be sent to the other hosts; false if the
+    /// record is not added.
+    pub fn record_crash(&self, now: Instant, record: CrashRecord) -> bool {
+        let (id, valid) = (record.id, crash_exchange::is_valid(&record));
+        let added = self.with_quarantine(|quarantine| quarantine.add(now, record));
+        if added && !valid {
+            log::warn!("quarantine: record={id:x} is too large for the other hosts");
+        } else if added {
+            self.notify_crashes();
+        }
+        added
+    }
+
+    /// Signals crash records that have to be sent to the other hosts at once.
+    pub fn notify_crashes(&self) {
+        self.crash_change.notify_one();
+    }
+
+    /// Waits for signalled crash records.
+    pub async fn crashes_changed(&self) {
+        self.crash_change.notified().await;
+    }
+
     /// Counts a caller's request towards the retry budget of a service.
     pub fn count_request(&self, now: Instant, service: &Arc<str>) {
         self.with_budget(service, |budget| budget.count_request(now));
--- a/crates/rosemarypitch-gateway/src/handler.rs
+++ b/crates/rosemarypitch-gateway/src/handler.rs
@@ -51,7 +51,8 @@
         PeerRequest::Report { .. }
         | PeerRequest::Row(_)
         | PeerRequest::Snapshot { .. }
-        | PeerRequest::Updates { .. } => PeerReply::NotOwner,
+        | PeerRequest::Updates { .. }
+        | PeerRequest::Crashes(_) => PeerReply::NotOwner,
         PeerRequest::Verify(attempts) => {
             let mut not_running = attempts;
             not_running.retain(|attempt| !host.running.contains(attempt));
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -66,6 +66,8 @@
         /// Longest wait for updates, in milliseconds.
         wait_ms: u64,
     },
+    /// Sends and offers records of crashed engines, encoded.
+    Crashes(Vec<u8>),
 }
 
 /// A reply to a [`PeerRequest`].
@@ -100,6 +102,8 @@
     NotOwner,
     /// Updates of the store, encoded; `None` if the peer is not current, or too far ahead.
     Updates(Option<Vec<u8>>),
+    /// Identifiers of the offered records of crashed engines that the peer asks for.
+    Crashes(Vec<u64>),
 }
 
 /// Token counts and engine use of one host run.
--- a/crates/rosemarypitch-peer/tests/contract.rs
+++ b/crates/rosemarypitch-peer/tests/contract.rs
@@ -8,9 +8,9 @@
 use proptest::test_runner::{Config, RngSeed};
 use rosemarypitch_limit::HostId;
 use rosemarypitch_peer::{
-    ErrorKind, Handler, HandlerFuture, Heartbeat, HostInfo, MemberTable, MembershipEvent,
-    MembershipTimings, PROTOCOL_VERSION, PeerClient, PeerReply, PeerRequest, PeerServer,
-    PeerTransport, decode, encode,
+    ErrorKind, Handler, HandlerFuture, Heartbeat, HostInfo, HostReport, MAX_MESSAGE_BYTES,
+    MemberTable, MembershipEvent, MembershipTimings, PROTOCOL_VERSION, PeerClient, PeerReply,
+    PeerRequest, PeerServer, PeerTransport, RowReport, decode, encode,
 };
 use rstest::rstest;
 use tokio::net::TcpListener;
@@ -213,6 +213,46 @@
     assert!(decode::<PeerRequest>(bytes).is_err());
 }
 
+/// Hosts of the previous release cannot decode a report with another field, and would count
+/// each host of the new release as unreachable.
+#[test]
+fn reports_keep_the_encoding_of_the_previous_release() {
+    let reach = [0, 0, 0, 0, 0, 0];
+    let host = [&[0, 0, 0, 0][..], &reach, &[0, 0, 0]].concat();
+    let row = [&[0, 0, 0, 0, 0, 0][..], &reach, &[0, 0]].concat();
+    let message = |variant: u8, body: &[u8]| [&[PROTOCOL_VERSION, variant], body].concat();
+    let (report, reachable) = (HostReport::default(), true);
+    let request = PeerRequest::Report { report: report.clone(), reachable };
+    assert_eq!(encode(&request).expect("encoded"), message(11, &[&host[..], &[1]].concat()));
+    assert_eq!(encode(&PeerReply::Report(report)).expect("encoded"), message(7, &host));
+    let report = RowReport::default();
+    let request = PeerRequest::Row(report.clone());
+    assert_eq!(encode(&request).expect("encoded"), message(12, &row));
+    assert_eq!(encode(&PeerReply::Row(report)).expect("encoded"), message(8, &row));
+}
+
+#[test]
+fn crash_records_follow_the_messages_of_the_previous_release() {
+    let request = encode(&PeerRequest::Crashes(vec![7])).expect("encoded");
+    assert_eq!(request, [PROTOCOL_VERSION, 15, 1, 7]);
+    let reply = encode(&PeerReply::Crashes(vec![7])).expect("encoded");
+    assert_eq!(reply, [PROTOCOL_VERSION, 13, 1, 7]);
+}
+
+/// A host of the previous release cannot decode crash records; its other calls go on.
+#[tokio::test]
+async fn a_request_that_the_peer_cannot_decode_fails_alone() {
+    let peer = server("secret-of-the-fleet").await;
+    let client = client("secret-of-the-fleet");
+    assert!(client.call(peer, &PeerRequest::Document(1), TIMEOUT).await.is_ok());
+    let undecodable = PeerRequest::Crashes(vec![0; MAX_MESSAGE_BYTES]);
+    let waiting = client.call(peer, &PeerRequest::Document(0), Duration::from_millis(500));
+    let (waiting, error) = tokio::join!(waiting, client.call(peer, &undecodable, TIMEOUT));
+    assert_eq!(error.expect_err("no reply").kind, ErrorKind::Lost);
+    assert_eq!(waiting.expect_err("no reply").kind, ErrorKind::Timeout);
+    assert!(client.call(peer, &PeerRequest::Document(1), TIMEOUT).await.is_ok());
+}
+
 #[test]
 fn trailing_bytes_are_rejected() {
     let mut bytes = encode(&PeerRequest::Document(7)).expect("encoded");
