--- a/crates/rosemarypitch-forward/src/client.rs
+++ b/crates/rosemarypitch-forward/src/client.rs
@@ -6,6 +6,7 @@
 //! [`Exchange`] closes its connection at once, which signals to the upstream that the
 //! caller has disconnected.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -167,6 +168,18 @@
     }
 }
 
+/// Whether connections to an address are refused, as after the crash of a process. No connection
+/// in time, or any other error, may have its cause in the network or in this host.
+pub async fn is_refused(address: SocketAddr) -> bool {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => {
+            log::debug!("client: check of {address}: {error}");
+            error.kind() == io::ErrorKind::ConnectionRefused
+        }
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
     let to_error =
         |reason: String| SendError { step: SendStep::Connect, address, reason: Arc::from(reason) };
--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -10,6 +10,7 @@
 //! interrupted stream is resumed in the same way: the next engine starts after the last
 //! complete event.
 
+mod crash;
 mod decode;
 mod prefill;
 mod resume;
@@ -32,6 +33,7 @@
 use crate::retry::{Denial, RetryPermit};
 use crate::router::Router;
 
+use crash::PendingCheck;
 use decode::DecodeFailure;
 use prefill::KvCache;
 use slot::SlotGuard;
@@ -74,6 +76,8 @@
     last_engine: Option<Arc<str>>,
     /// Whether the current attempt goes to the same engine as the previous one.
     same_engine: bool,
+    /// Check of the engine whose stream broke last.
+    crash_check: PendingCheck,
 }
 
 impl Default for RetryState {
@@ -87,6 +91,7 @@
             lost_caches,
             last_engine: None,
             same_engine: false,
+            crash_check: PendingCheck::default(),
         }
     }
 }
@@ -143,6 +148,7 @@
             _ if !allowed => Err(Denial::Route),
             _ if !left => Err(Denial::Attempts),
             _ if call.remaining(now).is_zero() => Err(Denial::Deadline),
+            _ if crash::refuse_culprit(router, call).is_err() => Err(Denial::Quarantine),
             Progress::Unsent => Ok(None),
             Progress::Delivered => RetryPermit::take(router, call).map(Some),
         }
@@ -242,25 +248,28 @@
     choice: EngineChoice,
     permit: Option<RetryPermit>,
 ) -> Result<Prepared, FailedAttempt> {
+    crash::refuse_culprit(router, call)?;
     let queued = Instant::now();
     let requeued = state.placements > 0 || after.is_some();
     let slot = slot::acquire(router, call, requeued, after, &choice).await?;
     router.metrics.record_wait(&call.service.name, call.customer_name(), queued.elapsed());
     call::reauthorize(router, call)?;
     log::info!(
-        "call: placed attempt={} route={} engine={} hold={} ticket={} queued_ms={}",
+        "call: placed attempt={} route={} engine={} hold={} ticket={} queued_ms={} parts={}",
         call.meta.attempt,
         call.route.name,
         slot.engine.id,
         slot.reservation.as_deref().unwrap_or("-"),
         slot.ticket,
         queued.elapsed().as_millis(),
+        call.parts_text(),
     );
     state.placements += 1;
     state.same_engine = choice.first.is_some_and(|first| first == slot.engine.id);
     state.last_engine = Some(slot.engine.id.clone());
     let cache =
         if state.same_engine { None } else { prefill::prefill(router, call, state).await? };
+    crash::refuse_culprit(router, call)?;
     Ok(Prepared { slot, cache, permit })
 }
 
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use tokio::time::Instant;
 
+use super::crash::{self, PendingCheck};
 use super::prefill::KvCache;
 use super::slot::SlotGuard;
 use super::{
@@ -116,7 +118,11 @@
                     cache.handed_over = false;
                 }
             }
+            let engine = slot.engine.clone();
             slot.finish(DecodeEnd::Failed(outcome));
+            if outcome == Outcome::Failed {
+                crash::check(router, call, &engine).await;
+            }
             Err(failure)
         }
     }
@@ -192,8 +198,21 @@
         record_success(router, call, &prefill_engine);
     }
     let success = head.status.is_success();
-    let on_events = progress_callback(router, call, slot.engine.id.clone(), slot.ticket);
-    let on_end = move |end, events| finish_stream(slot, end, events, success);
+    let mut report_progress = progress_callback(router, call, slot.engine.id.clone(), slot.ticket);
+    let began = Arc::new(AtomicBool::new(false));
+    let stream_began = began.clone();
+    let on_events = move |events| {
+        stream_began.store(true, Ordering::Relaxed);
+        report_progress(events);
+    };
+    let crash_check = state.crash_check.clone();
+    let on_end = move |end, events| {
+        if success {
+            let began = began.load(Ordering::Relaxed);
+            record_end(&slot, end, began, &crash_check);
+        }
+        finish_stream(slot, end, events, success);
+    };
     let segment = Segment::new(&head, body, exchange.connection, on_events, on_end);
     Ok(OpenStream { head, segment })
 }
@@ -224,6 +243,22 @@
     router.with_pool(&call.service.name, |pool| pool.record_outcome(now, engine, outcome));
 }
 
+/// Records a complete answer to a prompt, or checks whether the engine has crashed before the
+/// first event. The end of an answer without a length then looks like a complete one.
+fn record_end(slot: &SlotGuard, end: StreamEnd, began: bool, crash_check: &PendingCheck) {
+    match end {
+        StreamEnd::Complete if began => {
+            let parts = slot.call.parts();
+            slot.router
+                .with_quarantine(|quarantine| quarantine.record_answer(Instant::now(), parts));
+        }
+        StreamEnd::Complete | StreamEnd::Broken(StreamError::Upstream) if !began => {
+            crash_check.start(&slot.router, &slot.call, &slot.engine);
+        }
+        StreamEnd::Complete | StreamEnd::Broken(_) | StreamEnd::Abandoned => {}
+    }
+}
+
 fn finish_stream(slot: SlotGuard, end: StreamEnd, events: u64, success: bool) {
     log::info!(
         "call: stream ended attempt={} engine={} end={end:?} events={events} age_ms={}",
--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
+use super::crash;
 use super::{RetryState, build_request, send_detached, timeout_refusal};
 use crate::call::Call;
 use crate::client;
@@ -58,6 +59,7 @@
         if call.remaining(now).is_zero() {
             return Err(timeout_refusal());
         }
+        crash::refuse_culprit(router, call)?;
         let retry = round > 0 || state.prefilled;
         if retry && !router.take_retry(now, &call.service.name) {
             return Ok(None);
@@ -91,6 +93,7 @@
     let request = build_request(router, call, &engine, ServingStage::Prefill, None);
     let exchange = client::send_buffered(engine.address, request);
     let response = tokio::time::timeout(timeout, exchange).await;
+    let mut broken = false;
     let (handle, end, detail) = match response {
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
@@ -106,7 +109,8 @@
             (handle, end, head.status.to_string())
         }
         Ok(Err(error)) => {
-            let outcome = if error.is_unsent() { Outcome::Unreachable } else { Outcome::Failed };
+            broken = !error.is_unsent();
+            let outcome = if broken { Outcome::Failed } else { Outcome::Unreachable };
             (None, PrefillEnd::Failed(outcome), error.to_string())
         }
         Err(_) => (None, PrefillEnd::Failed(Outcome::Unreachable), "silent".to_owned()),
@@ -119,6 +123,9 @@
         engine.id,
         start.elapsed().as_millis(),
     );
+    if broken {
+        crash::check(router, call, &engine).await;
+    }
     let handle = handle?;
     let source = KvSource { engine: engine.id.clone(), address: engine.address, handle };
     Some(KvCache { router: router.clone(), engine, source, handed_over: false })
--- a/crates/rosemarypitch-forward/src/generate/resume.rs
+++ b/crates/rosemarypitch-forward/src/generate/resume.rs
@@ -61,6 +61,7 @@
             self.state().prefilled = true;
             return prepare_replacement(router, call, state, Some(position)).await;
         }
+        state.crash_check.finish().await;
         let permit = state.may_retry(router, call, Progress::Delivered);
         let permit = permit.map_err(|denial| denial.name())?;
         let first = state.last_engine.clone().filter(|_| !state.same_engine);
--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
+use super::crash;
 use super::{
     COMMAND_TIMEOUT, EngineChoice, FAILED_RETRY_AFTER, jitter, send_detached, timeout_error,
 };
@@ -105,6 +106,7 @@
         if excluded {
             return Err(Refusal::not_run(Cause::Busy).with_retry_after(jitter(FAILED_RETRY_AFTER)));
         }
+        crash::refuse_culprit(router, call)?;
         match reserve_slot(router, call, &slot.engine, &request).await {
             Ok(Some(reservation)) => {
                 slot.reservation = Some(reservation);
--- a/crates/rosemarypitch-forward/src/refusal.rs
+++ b/crates/rosemarypitch-forward/src/refusal.rs
@@ -42,6 +42,8 @@
     Stopping,
     /// The request's task panicked.
     Internal,
+    /// A part of the prompt crashes engines.
+    Quarantined,
 }
 
 impl Cause {
@@ -61,6 +63,7 @@
             Self::Timeout => "timeout",
             Self::Stopping => "stopping",
             Self::Internal => "internal",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/rosemarypitch-forward/src/retry.rs
+++ b/crates/rosemarypitch-forward/src/retry.rs
@@ -20,6 +20,8 @@
     Deadline,
     /// The service's retry budget is used up.
     Budget,
+    /// A part of the prompt crashes engines.
+    Quarantine,
     /// No other upstream can take the request.
     NoUpstream,
 }
@@ -33,6 +35,7 @@
             Self::Attempts => "attempts",
             Self::Deadline => "deadline",
             Self::Budget => "budget",
+            Self::Quarantine => "quarantine",
             Self::NoUpstream => "no_upstream",
         }
     }
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -19,11 +19,13 @@
 use crate::budget::{RepeatRules, RetryBudget};
 use crate::config::ConfigSnapshot;
 use crate::control;
+use crate::crash_exchange;
 use crate::deployment::{Dialect, Directory, Update, Updates};
 use crate::layout::Layout;
 use crate::metrics::Metrics;
 use crate::open_calls::OpenCalls;
 use crate::pool::Pool;
+use crate::quarantine::{CrashRecord, Quarantine};
 use crate::quota::{self, Quota, QuotaRules, Share};
 use crate::registry::{Upstream, UpstreamRegistry};
 use crate::snapshot::{Snapshot, SnapshotVersion};
@@ -107,6 +109,8 @@
     usage_change: Notify,
     quota: Mutex<Quota>,
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
+    quarantine: Mutex<Quarantine>,
+    crash_change: Notify,
     limits: Mutex<LimitSettings>,
     next_ticket: AtomicU64,
     ready: AtomicBool,
@@ -159,6 +163,8 @@
             usage_change: Notify::new(),
             quota: Mutex::new(quota),
             budgets: Mutex::default(),
+            quarantine: Mutex::default(),
+            crash_change: Notify::new(),
             limits,
             next_ticket: AtomicU64::new(1),
             ready: AtomicBool::new(false),
@@ -425,6 +431,43 @@
         f(&mut lock(&self.quota))
     }
 
+    /// Runs `f` on the quarantine of prompt parts.
+    pub fn with_quarantine<T>(&self, f: impl FnOnce(&mut Quarantine) -> T) -> T {
+        let mut quarantine = lock(&self.quarantine);
+        let before = quarantine.culprits().to_vec();
+        let result = f(&mut quarantine);
+        if quarantine.culprits() != before {
+            let culprits = quarantine.culprits().iter();
+            let culprits: Vec<String> = culprits.map(|culprit| culprit.to_string()).collect();
+            log::warn!("quarantine: culprits changed now=[{}]", culprits.join(" "));
+            self.metrics.set_gauge("culprits", quarantine.culprit_count() as u64);
+        }
+        result
+    }
+
+    /// Records a crash that this host has seen, to be sent to the other hosts; false if the
+    /// record is not added.
+    pub fn record_crash(&self, now: Instant, record: CrashRecord) -> bool {
+        let (id, valid) = (record.id, crash_exchange::is_valid(&record));
+        let added = self.with_quarantine(|quarantine| quarantine.add(now, record));
+        if added && !valid {
+            log::warn!("quarantine: record={id:x} is too large for the other hosts");
+        } else if added {
+            self.notify_crashes();
+        }
+        added
+    }
+
+    /// Signals crash records that have to be sent to the other hosts at once.
+    pub fn notify_crashes(&self) {
+        self.crash_change.notify_one();
+    }
+
+    /// Waits for signalled crash records.
+    pub async fn crashes_changed(&self) {
+        self.crash_change.notified().await;
+    }
+
     /// Counts a caller's request towards the retry budget of a service.
     pub fn count_request(&self, now: Instant, service: &Arc<str>) {
         self.with_budget(service, |budget| budget.count_request(now));
--- a/crates/rosemarypitch-forward/tests/refusals.rs
+++ b/crates/rosemarypitch-forward/tests/refusals.rs
@@ -19,7 +19,8 @@
         Cause::UpstreamFailed,
         Cause::Timeout,
         Cause::Stopping,
-        Cause::Internal
+        Cause::Internal,
+        Cause::Quarantined
     )]
     cause: Cause,
 ) {
