A host offers crash records to four peers a round

Cause: all hosts of a row offered a record to all others in the same half second. Change: CrashExchange::start_round, with random order of the peers and four offers a round. A record of the host's own, or from another row, still goes to all peers at once. Why it works: a peer that lacks a record is offered it by any of the hosts of its row, and each of them picks four others a round.

--- a/crates/rosemarypitch-forward/src/crash_exchange.rs
+++ b/crates/rosemarypitch-forward/src/crash_exchange.rs
@@ -12,6 +12,7 @@
 //! for it because one of these exchanges failed or it was not running then.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,6 +29,9 @@
 pub const MAX_BATCH: usize = 32;
 /// Largest number of records that a message offers.
 pub const MAX_OFFERS: usize = 128;
+/// Largest number of peers to which a round only offers records. All hosts of a row offer a
+/// record in the same rounds, so a peer that lacks it is soon offered it by one of them.
+pub const MAX_ROUND_OFFERS: usize = 4;
 /// Largest size of a record; a batch stays well below the largest message of a peer.
 const MAX_RECORD_BYTES: usize = 16 << 10;
 /// Delay of the next exchange with a peer after one that failed; it doubles each time.
@@ -110,13 +114,36 @@
         }
     }
 
+    /// Starts exchanges with those of `peers` that lack any of `records`, all those of this
+    /// host. The order of the peers, which should be random, decides which of them are offered
+    /// records first.
+    pub fn start_round(
+        &mut self,
+        now: Instant,
+        peers: Vec<(Arc<str>, SocketAddr)>,
+        records: &[CrashRecord],
+    ) -> Vec<(Arc<str>, SocketAddr, Exchange)> {
+        self.retain(records);
+        let mut offers = 0;
+        let mut exchanges = Vec::new();
+        for (peer, address) in peers {
+            let may_offer = offers < MAX_ROUND_OFFERS;
+            if let Some(exchange) = self.start(now, &peer, records, may_offer) {
+                offers += usize::from(exchange.batch.records.is_empty());
+                exchanges.push((peer, address, exchange));
+            }
+        }
+        exchanges
+    }
+
     /// Starts an exchange with a peer if it lacks any of `records` and none is in progress or
-    /// has just failed.
+    /// has just failed. One that would only offer records starts if `may_offer`.
     pub fn start(
         &mut self,
         now: Instant,
         peer: &Arc<str>,
         records: &[CrashRecord],
+        may_offer: bool,
     ) -> Option<Exchange> {
         let state = self.peers.entry(peer.clone()).or_default();
         let missing = || {
@@ -136,6 +163,9 @@
         let records = missing().filter(|record| !is_offer(record)).take(MAX_BATCH).cloned();
         let offers = missing().filter(is_offer).take(MAX_OFFERS).map(|record| record.id);
         let batch = Batch { records: records.collect(), offers: offers.collect() };
+        if batch.records.is_empty() && !may_offer {
+            return None;
+        }
         state.in_progress = true;
         state.more = count > batch.records.len() + batch.offers.len();
         Some(Exchange { batch, incarnation: state.incarnation })
--- a/crates/rosemarypitch-forward/src/gossip/crashes.rs
+++ b/crates/rosemarypitch-forward/src/gossip/crashes.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rand::seq::SliceRandom;
 use rosemarypitch_limit::HostId;
 use rosemarypitch_peer::{PeerClient, PeerReply, PeerRequest, PeerTransport};
 use tokio::time::{self, Instant};
@@ -26,14 +27,13 @@
     /// Starts exchanges with all reachable hosts that lack records of this one.
     fn send_crashes(self: &Arc<Self>, peers: &Arc<PeerClient>, now: Instant) {
         let records = self.router.with_quarantine(|quarantine| quarantine.records(now));
-        lock(&self.crashes).retain(&records);
-        if records.is_empty() {
-            return;
-        }
-        let reachable = self.lock().reachable(now);
-        for (host, address) in reachable {
-            let exchange = lock(&self.crashes).start(now, &host, &records);
-            let Some(exchange) = exchange else { continue };
+        let mut reachable = match records.is_empty() {
+            true => Vec::new(),
+            false => self.lock().reachable(now),
+        };
+        reachable.shuffle(&mut rand::rng());
+        let exchanges = lock(&self.crashes).start_round(now, reachable, &records);
+        for (host, address, exchange) in exchanges {
             let (gossip, peers) = (self.clone(), peers.clone());
             tokio::spawn(async move {
                 let wanted = send_batch(&peers, &host, address, &exchange.batch).await;
