Confirmed crashes are told to the other hosts

What callers saw: each host let a deadly part crash two engines before it refused it. Change: the check records it with Router::record_crash. Records whose parts have all been answered stay in `Quarantine::records`, so that a host doesn't ask for them again.

--- a/crates/rosemarypitch-forward/src/generate/crash.rs
+++ b/crates/rosemarypitch-forward/src/generate/crash.rs
@@ -49,7 +49,7 @@
         parts: call.parts().to_vec(),
         age_ms: 0,
     };
-    router.with_quarantine(|quarantine| quarantine.add(Instant::now(), record));
+    router.record_crash(Instant::now(), record);
 }
 
 /// The check that was started when a stream broke, if any.
--- a/crates/rosemarypitch-forward/src/quarantine.rs
+++ b/crates/rosemarypitch-forward/src/quarantine.rs
@@ -155,11 +155,10 @@
         matching.map(|culprit| culprit.until - now).max()
     }
 
-    /// The records that name a suspected part, for another host.
+    /// All records, for another host. Those without a suspected part are empty.
     pub fn records(&self, now: Instant) -> Vec<CrashRecord> {
         let live = self.records.iter().filter(|(_, record)| !record.is_expired(now));
-        let named = live.filter(|(_, record)| !record.parts.is_empty());
-        let records = named.map(|(id, record)| CrashRecord {
+        let records = live.map(|(id, record)| CrashRecord {
             id: *id,
             engine: record.engine.0.clone(),
             incarnation: record.engine.1,
