--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod announce;
 pub mod balance;
+pub mod body;
 pub mod bucket;
 pub mod budget;
 pub mod call;
@@ -39,6 +40,7 @@
 pub mod registry;
 pub mod relay;
 pub mod remote_rows;
+pub mod retry;
 pub mod router;
 pub mod serve;
 pub mod snapshot;
