A restarted host does not spend its allowance of retries twice

What callers saw: nothing at once; with hosts killed or stopped in turn, each new process began with its whole share of the allowance, which the one before may have spent in the same window. Cause: found by reading: the budget begins empty with the process, the window of the rule does not. Evidence: tests/budget.rs a_restarted_host_does_not_spend_its_allowance_twice; the code before has no such state, a new budget permits 14 retries of 56 with four hosts at once. Change: a host that starts while others run has no allowance for one window, only the part for its own requests. At the first start of the whole fleet the allowance is there at once.

--- a/crates/rosemarypitch-forward/src/budget.rs
+++ b/crates/rosemarypitch-forward/src/budget.rs
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     rules: RepeatRules,
+    /// Until when the allowance is withheld.
+    withheld_until: Option<Instant>,
     requests: VecDeque<Instant>,
     retries: VecDeque<Instant>,
     /// Number of permitted retries that are not sent yet.
@@ -40,7 +42,13 @@
     /// Creates the budget of a host that has sent nothing.
     pub fn new(rules: RepeatRules) -> Self {
         let (requests, retries) = (VecDeque::new(), VecDeque::new());
-        Self { rules, requests, retries, pending: 0 }
+        Self { rules, withheld_until: None, requests, retries, pending: 0 }
+    }
+
+    /// Creates the budget of a host that started at `start` while others were running. It may
+    /// have spent its share of the allowance in the window before.
+    pub fn restarted(rules: RepeatRules, start: Instant) -> Self {
+        Self { withheld_until: Some(start + rules.window), ..Self::new(rules) }
     }
 
     /// Changes the limits.
@@ -63,7 +71,9 @@
 
     fn max(&mut self, now: Instant, hosts: usize) -> f64 {
         self.drop_expired(now);
-        self.rules.allowance / hosts.max(1) as f64 + self.rules.ratio * self.requests.len() as f64
+        let withheld = self.withheld_until.is_some_and(|end| now < end);
+        let allowance = if withheld { 0.0 } else { self.rules.allowance };
+        allowance / hosts.max(1) as f64 + self.rules.ratio * self.requests.len() as f64
     }
 
     fn permit_within(&mut self, max: f64) -> bool {
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -81,6 +81,8 @@
 pub struct Router {
     /// Settings from the start of the process.
     pub settings: RouterSettings,
+    /// When the process started.
+    pub started: Instant,
     /// Wire format of the deployment.
     pub dialect: Arc<dyn Dialect>,
     /// Access to the store.
@@ -143,6 +145,7 @@
         let limits = Mutex::new(limits);
         Self {
             settings,
+            started: Instant::now(),
             dialect,
             directory,
             metrics: Metrics::new(),
@@ -476,7 +479,10 @@
     /// Runs `f` on the retry budget of a service.
     pub fn with_budget<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let rules = self.limits().repeats;
-        let create = || RetryBudget::new(rules);
+        let create = || match self.settings.first_start {
+            true => RetryBudget::new(rules),
+            false => RetryBudget::restarted(rules, self.started),
+        };
         f(lock(&self.budgets).entry(service.clone()).or_insert_with(create))
     }
 }
--- a/crates/rosemarypitch-forward/tests/budget.rs
+++ b/crates/rosemarypitch-forward/tests/budget.rs
@@ -96,3 +96,11 @@
     budget.cancel();
     assert!(budget.permit(now, 1));
 }
+
+#[test]
+fn a_restarted_host_does_not_spend_its_allowance_twice() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::restarted(RETRIES, start);
+    assert!(!take(&mut budget, start + ms(9_900), 4));
+    assert!(take(&mut budget, start + ms(10_100), 4));
+}
