Count a prefill that no engine accepts as a retry

The first one of each request was sent without a retry from the budget, also where it was rejected or stayed silent and no further prefill followed. Change: a first prefill holds a permit, which is given back if an engine accepts it and counted if not; without one the decode engine prefills the prompt. A host whose share is less than one retry, as in large fleets, still has one such prefill at a time.

--- a/crates/rosemarypitch-forward/src/budget.rs
+++ b/crates/rosemarypitch-forward/src/budget.rs
@@ -69,6 +69,14 @@
         self.permit_within(max)
     }
 
+    /// Permits one attempt that counts as a retry only if it fails.
+    ///
+    /// A host whose share is less than one retry may still have one such attempt at a time.
+    pub fn permit_first(&mut self, now: Instant, hosts: usize) -> bool {
+        let max = self.max(now, hosts).max(1.0);
+        self.permit_within(max)
+    }
+
     fn max(&mut self, now: Instant, hosts: usize) -> f64 {
         self.drop_expired(now);
         let withheld = self.withheld_until.is_some_and(|end| now < end);
--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -61,20 +61,28 @@
             return Err(timeout_refusal());
         }
         crash::refuse_culprit(router, call)?;
-        let retry = round > 0 || state.prefilled;
-        if retry {
-            let Ok(permit) = RetryPermit::take(router, call) else { return Ok(None) };
-            permit.spend();
-        }
+        // The first prefill that an engine accepts does not count as a retry.
+        let first = !state.prefilled;
+        let permit = match round {
+            0 if first => RetryPermit::take_first(router, call),
+            _ => RetryPermit::take(router, call),
+        };
+        let Ok(permit) = permit else { return Ok(None) };
+        let mut unspent = Some(permit);
         let chosen = router
             .with_pool(&call.service.name, |pool| pool.start_prefill(now, prompt, &tried))
             .flatten();
         let Some(engine) = chosen else { return Ok(None) };
         tried.push(engine.id.clone());
-        if let Some(cache) = prefill_at(router, call, engine, prompt).await {
+        if !first {
+            unspent.take().into_iter().for_each(RetryPermit::spend);
+        }
+        let cache = prefill_at(router, call, engine, prompt).await;
+        if cache.is_some() {
             state.prefilled = true;
-            return Ok(Some(cache));
+            return Ok(cache);
         }
+        unspent.take().into_iter().for_each(RetryPermit::spend);
     }
     Ok(None)
 }
--- a/crates/rosemarypitch-forward/src/retry.rs
+++ b/crates/rosemarypitch-forward/src/retry.rs
@@ -55,6 +55,11 @@
         Self::ask(router, call, RetryBudget::permit)
     }
 
+    /// Asks the budget for an attempt that counts as a retry only if it fails.
+    pub fn take_first(router: &Arc<Router>, call: &Call) -> Result<Self, Denial> {
+        Self::ask(router, call, RetryBudget::permit_first)
+    }
+
     fn ask(
         router: &Arc<Router>,
         call: &Call,
--- a/crates/rosemarypitch-forward/tests/budget.rs
+++ b/crates/rosemarypitch-forward/tests/budget.rs
@@ -104,3 +104,24 @@
     assert!(!take(&mut budget, start + ms(9_900), 4));
     assert!(take(&mut budget, start + ms(10_100), 4));
 }
+
+/// Every prefill fails, and each failed one counts as a retry.
+#[rstest]
+#[case::four_hosts(4, 56)]
+#[case::more_hosts_than_retries(119, 119)]
+fn failing_first_attempts_do_not_overdraw_the_budget(#[case] hosts: usize, #[case] bound: usize) {
+    let start = Instant::now();
+    let rules = RepeatRules { ratio: 0.0, ..RETRIES };
+    let mut budgets: Vec<_> = (0..hosts).map(|_| RetryBudget::new(rules)).collect();
+    let mut failed = 0;
+    for step in 0..1_000 {
+        let now = start + ms(step * 9);
+        for budget in &mut budgets {
+            if budget.permit_first(now, hosts) {
+                budget.send(now);
+                failed += 1;
+            }
+        }
+    }
+    assert_eq!(failed, bound);
+}
