Seek an upstream anew when a connection breaks after a silence

What callers saw: a stream ended without its rest although its engine would have gone on with it (LOST). Evidence: platform/tests/silence.rs a_stream_that_breaks_after_a_silence_resumes_at_its_own_engine, on the code before: FAILED, silence.rs:280:5, one event of four. Change: a break drops that search, with its slot and retry, and begins one for a broken stream.

--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -256,14 +256,12 @@
 
     /// Starts to resume at another upstream, or fails the body if that is not possible.
     fn interrupt(&mut self, cause: StreamError) -> Result<(), StreamError> {
-        let standby = match &mut self.state {
-            State::Reading(_, standby) => standby.take(),
-            _ => None,
-        };
+        // This also drops a preparation that has begun, since it avoids the upstream whose
+        // connection broke. That one may be the only one left.
         self.close_segment(cause);
         let policy = self.policy.as_mut().filter(|_| self.events.is_resumable()).ok_or(cause)?;
-        let prepare = || (policy.prepare)(self.events.position().clone(), cause);
-        self.state = State::Preparing(standby.unwrap_or_else(prepare), cause);
+        let preparing = (policy.prepare)(self.events.position().clone(), cause);
+        self.state = State::Preparing(preparing, cause);
         Ok(())
     }
 
