Take a stream without framing that ends before its first event for broken

What callers saw: an empty stream that looked complete, where the engine had ended after the head. Cause: found in the review: a body with neither a length nor chunks ends with its connection, and no bytes end inside no event. Evidence: platform/tests/silence.rs a_stream_without_an_event_or_a_marked_end_has_been_broken_off, on the code before 3 of 3 FAILED (silence.rs:271:5 and 272:5, a response that ends with the last chunk). Change: such an end is that of a broken stream: resumed where the route allows it, else aborted. Result: silence 32, broken_streams 116, path 51 passed.

--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -88,6 +88,8 @@
     events: u64,
     /// Whether the body is complete only if it ends after an event.
     ends_with_event: bool,
+    /// Whether the body has neither a length nor chunks, and ends with its connection.
+    is_unframed: bool,
     on_events: OnEvents,
     on_end: Option<OnEnd>,
     _connection: Connection,
@@ -106,11 +108,13 @@
         on_events: impl FnMut(u64) + Send + 'static,
         on_end: impl FnOnce(StreamEnd, u64) + Send + 'static,
     ) -> Self {
+        let success = head.status.is_success();
+        let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
         Self {
             body,
             events: 0,
-            ends_with_event: head.status.is_success()
-                && !head.headers.contains_key(header::CONTENT_LENGTH),
+            ends_with_event: success && !has_length,
+            is_unframed: success && is_unframed(head),
             on_events: Box::new(on_events),
             on_end: Some(Box::new(on_end)),
             _connection: connection,
@@ -129,6 +133,12 @@
     }
 }
 
+/// Whether the end of a response's body is only marked by that of its connection.
+pub fn is_unframed(head: &response::Parts) -> bool {
+    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    !framing.iter().any(|name| head.headers.contains_key(name))
+}
+
 impl Drop for Segment {
     fn drop(&mut self) {
         self.end(StreamEnd::Abandoned);
@@ -367,6 +377,12 @@
                         log::info!("call: upstream ended a stream inside an event");
                         StreamError::Upstream
                     }
+                    Poll::Ready(None)
+                        if segment.is_unframed && stream.events.position().events == 0 =>
+                    {
+                        log::info!("call: upstream ended a stream before its first event");
+                        StreamError::Upstream
+                    }
                     Poll::Ready(None) => return Poll::Ready(stream.finish().map(Ok)),
                     Poll::Ready(Some(Err(_))) => StreamError::Upstream,
                     Poll::Pending => {
