A crash soon after the first event counts against the prompt too

What callers saw: engines that send an event before they end under a deadly part kept crashing, one under each request or two (BUDGET), and an answer without a length that ended so even acquitted the part. Cause: found in the review: only answers without any event were suspected. Change: within 200 ms after its first event a broken answer, or one whose end is not marked, is followed by the check for a crash; such an end is no answer that clears a part.

--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -1,8 +1,7 @@
 //! The decode stage: sends a request to the engine that has its slot and relays the stream.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,6 +29,9 @@
 /// Time until the start of a response after which another engine is to take over, in multiples
 /// of the route's target, where the request may run again.
 const TIMEOUT_TARGETS: u32 = 2;
+/// Time after the first event of an answer in which a crash of its engine may still be due to
+/// the prompt.
+const BEGINNING: Duration = Duration::from_millis(200);
 
 /// Reason why an engine opened no stream.
 pub enum DecodeFailure {
@@ -199,17 +201,23 @@
     }
     let success = head.status.is_success();
     let mut report_progress = progress_callback(router, call, slot.engine.id.clone(), slot.ticket);
-    let began = Arc::new(AtomicBool::new(false));
+    let began = Arc::new(OnceLock::new());
     let stream_began = began.clone();
     let on_events = move |events| {
-        stream_began.store(true, Ordering::Relaxed);
+        stream_began.get_or_init(Instant::now);
         report_progress(events);
     };
     let crash_check = state.crash_check.clone();
+    let unframed = relay::is_unframed(&head);
     let on_end = move |end, events| {
         if success {
-            let began = began.load(Ordering::Relaxed);
-            record_end(&slot, end, began, &crash_check);
+            match answer_end(end, began.get().copied(), unframed) {
+                AnswerEnd::Complete => record_answer(&slot),
+                AnswerEnd::Suspect => {
+                    crash_check.start(&slot.router, &slot.call, &slot.engine);
+                }
+                AnswerEnd::Other => {}
+            }
         }
         finish_stream(slot, end, events, success);
     };
@@ -243,22 +251,34 @@
     router.with_pool(&call.service.name, |pool| pool.record_outcome(now, engine, outcome));
 }
 
-/// Records a complete answer to a prompt, or checks whether the engine has crashed before the
-/// first event. The end of an answer without a length then looks like a complete one.
-fn record_end(slot: &SlotGuard, end: StreamEnd, began: bool, crash_check: &PendingCheck) {
+/// What the end of an answer says about its prompt.
+enum AnswerEnd {
+    /// The engine has answered it.
+    Complete,
+    /// The engine may have crashed as it began to answer.
+    Suspect,
+    /// Nothing.
+    Other,
+}
+
+/// Judges the end of an answer whose first event came at `began`.
+///
+/// The end of an answer without a length may be that of a crashed engine's connection.
+fn answer_end(end: StreamEnd, began: Option<Instant>, unframed: bool) -> AnswerEnd {
+    let early = began.is_none_or(|began| began.elapsed() < BEGINNING);
     match end {
-        StreamEnd::Complete if began => {
-            let parts = slot.call.parts();
-            slot.router
-                .with_quarantine(|quarantine| quarantine.record_answer(Instant::now(), parts));
-        }
-        StreamEnd::Complete | StreamEnd::Broken(StreamError::Upstream) if !began => {
-            crash_check.start(&slot.router, &slot.call, &slot.engine);
-        }
-        StreamEnd::Complete | StreamEnd::Broken(_) | StreamEnd::Abandoned => {}
+        StreamEnd::Broken(StreamError::Upstream) if early => AnswerEnd::Suspect,
+        StreamEnd::Complete if early && unframed => AnswerEnd::Suspect,
+        StreamEnd::Complete => AnswerEnd::Complete,
+        StreamEnd::Broken(_) | StreamEnd::Abandoned => AnswerEnd::Other,
     }
 }
 
+fn record_answer(slot: &SlotGuard) {
+    let parts = slot.call.parts();
+    slot.router.with_quarantine(|quarantine| quarantine.record_answer(Instant::now(), parts));
+}
+
 fn finish_stream(slot: SlotGuard, end: StreamEnd, events: u64, success: bool) {
     log::info!(
         "call: stream ended attempt={} engine={} end={end:?} events={events} age_ms={}",
