Leave a silent plain server only for one that can be reached

Cause: found in the review: engines reserve a slot before a silent one is left, plain services only chose another server, which might be down. Evidence: platform/tests/silence.rs a_silent_server_is_kept_if_the_next_one_cannot_be_reached, on the code before 2 of 2 FAILED: silence.rs:302:13 (a stream without its rest), silence.rs:306:9 (502 for 200). Change: the connection to the next server is opened while the silent one is still listened to, and the request is sent on it; where that fails the server is avoided for a time and the request stays.

--- a/crates/rosemarypitch-forward/src/client.rs
+++ b/crates/rosemarypitch-forward/src/client.rs
@@ -101,7 +101,15 @@
 
 /// Sends a request and waits for the response head.
 pub async fn send(address: SocketAddr, request: Request<Bytes>) -> Result<Exchange, SendError> {
-    let stream = connect(address).await?;
+    send_on(connect(address).await?, address, request).await
+}
+
+/// Sends a request on a new connection and waits for the response head.
+pub async fn send_on(
+    stream: TcpStream,
+    address: SocketAddr,
+    request: Request<Bytes>,
+) -> Result<Exchange, SendError> {
     let to_error = |error: hyper::Error| SendError {
         step: SendStep::Response,
         address,
@@ -180,7 +188,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
+/// Opens a connection to an upstream.
+pub async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
     let to_error =
         |reason: String| SendError { step: SendStep::Connect, address, reason: Arc::from(reason) };
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -68,18 +68,22 @@
                 return none;
             }
         };
-        let resuming: SegmentFuture = Box::pin(async move {
-            let after = Some(&position);
-            let opened = try_upstreams(&router, &call, &mut current, after, Some(next)).await;
-            *state.lock().unwrap_or_else(|error| error.into_inner()) = current;
-            relay::log_resumed(&call, &position, opened.as_ref().err());
-            match opened {
-                Ok(Reply::Stream(opened)) => Some(opened.segment),
-                Ok(Reply::Buffered(_)) | Err(_) => None,
-            }
+        let preparing: PrepareFuture = Box::pin(async move {
+            // A silent server is only left for one that can be reached.
+            let next = if cause == StreamError::Silent { next.connect().await? } else { next };
+            let resuming: SegmentFuture = Box::pin(async move {
+                let after = Some(&position);
+                let opened = try_upstreams(&router, &call, &mut current, after, Some(next)).await;
+                *state.lock().unwrap_or_else(|error| error.into_inner()) = current;
+                relay::log_resumed(&call, &position, opened.as_ref().err());
+                match opened {
+                    Ok(Reply::Stream(opened)) => Some(opened.segment),
+                    Ok(Reply::Buffered(_)) | Err(_) => None,
+                }
+            });
+            Some(resuming)
         });
-        let prepared: PrepareFuture = Box::pin(std::future::ready(Some(resuming)));
-        prepared
+        preparing
     });
     ResumePolicy { idle_timeout, prepare }
 }
@@ -179,6 +183,14 @@
     permit: Option<RetryPermit>,
 }
 
+impl Chosen {
+    /// Opens a connection to the server; none if that fails.
+    pub async fn connect(self) -> Option<Self> {
+        let Self { server, permit } = self;
+        Some(Self { server: server.connect().await?, permit })
+    }
+}
+
 /// Sends a request to one server after another until one responds.
 ///
 /// `first` is the first one, if it has been chosen already.
--- a/crates/rosemarypitch-forward/src/plain/send.rs
+++ b/crates/rosemarypitch-forward/src/plain/send.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, response};
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use super::{Chosen, ResponseClass, classify, resume_from, upstream_request};
@@ -46,7 +47,7 @@
 pub async fn send(
     router: &Arc<Router>,
     call: &Arc<Call>,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
     after: Option<&Position>,
     replace: impl FnMut() -> Option<Chosen>,
 ) -> SendOutcome {
@@ -54,7 +55,8 @@
     let remaining = call.remaining(start);
     let upstream = &*in_flight.upstream.clone();
     let request = build_request(router, call, upstream, remaining, after);
-    let receiving = receive(router, call, upstream, request);
+    let connected = in_flight.connection.take();
+    let receiving = receive(router, call, upstream, request, connected);
     let (outcome, detail) = match await_answer(call, receiving, replace).await {
         Answer::Received(Ok(received)) => (handle_response(call, in_flight, received), None),
         Answer::Received(Err(error)) => (handle_error(in_flight, &error), Some(error.to_string())),
@@ -105,8 +107,15 @@
             Err(_) if !may_leave => return Answer::Late,
             Err(_) => {}
         }
-        if let Some(next) = replace() {
-            return Answer::Replaced(next);
+        let Some(next) = replace() else { continue };
+        tokio::select! {
+            biased;
+            received = &mut receiving => return Answer::Received(received),
+            connected = next.connect() => {
+                if let Some(next) = connected {
+                    return Answer::Replaced(next);
+                }
+            }
         }
     }
 }
@@ -129,8 +138,13 @@
     call: &Call,
     upstream: &Upstream,
     request: Request<Bytes>,
+    connected: Option<TcpStream>,
 ) -> Result<ReceivedResponse, SendError> {
-    let Exchange { response, connection } = client::send(upstream.address, request).await?;
+    let sent = match connected {
+        Some(stream) => client::send_on(stream, upstream.address, request).await,
+        None => client::send(upstream.address, request).await,
+    };
+    let Exchange { response, connection } = sent?;
     let (head, body) = response.into_parts();
     let meta = router.dialect.parse_response(&head);
     if let Some(load) = meta.load {
@@ -246,6 +260,8 @@
     service: Arc<str>,
     /// The server, at which the balancer has counted the request.
     pub upstream: Arc<Upstream>,
+    /// Connection to the server, if one has been opened for the request.
+    connection: Option<TcpStream>,
     outcome: Option<Outcome>,
 }
 
@@ -253,7 +269,22 @@
     /// Takes over a request from the balancer.
     pub fn new(router: &Arc<Router>, call: &Call, upstream: Arc<Upstream>) -> Self {
         let service = call.service.name.clone();
-        Self { router: router.clone(), service, upstream, outcome: None }
+        Self { router: router.clone(), service, upstream, connection: None, outcome: None }
+    }
+
+    /// Opens a connection to the server; none if that fails, which is recorded.
+    pub async fn connect(mut self) -> Option<Self> {
+        match client::connect(self.upstream.address).await {
+            Ok(stream) => {
+                self.connection = Some(stream);
+                Some(self)
+            }
+            Err(error) => {
+                log::info!("call: server cannot take over: {error}");
+                self.finish(Outcome::Unreachable);
+                None
+            }
+        }
     }
 
     fn finish(mut self, outcome: Outcome) {
