Remove an import that the last change left unused

Cause: decode.rs no longer names the type of the pending check; clippy stopped on it. Change: the import.

--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -8,7 +8,7 @@
 use http::Request;
 use tokio::time::Instant;
 
-use super::crash::{self, PendingCheck};
+use super::crash;
 use super::prefill::KvCache;
 use super::slot::SlotGuard;
 use super::{
