--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -74,15 +74,17 @@
             .flatten();
         let Some(engine) = chosen else { return Ok(None) };
         tried.push(engine.id.clone());
-        if !first {
-            unspent.take().into_iter().for_each(RetryPermit::spend);
+        if !first && let Some(permit) = unspent.take() {
+            permit.spend();
         }
         let cache = prefill_at(router, call, engine, prompt).await;
         if cache.is_some() {
             state.prefilled = true;
             return Ok(cache);
         }
-        unspent.take().into_iter().for_each(RetryPermit::spend);
+        if let Some(permit) = unspent.take() {
+            permit.spend();
+        }
     }
     Ok(None)
 }
