Stop: refuse what a stopping host cannot finish, serve what it can

Callers saw: around the SIGTERM of its host a stream ends without the whole answer.

Cause: a stopping host served whatever reached it. The forecast of the pool was asked only for requests that had found no engine with room, took no run for longer than the average, and was not asked again after the prompt; plain requests had none; the pool of a service that a configuration added meanwhile did not know of the stop.

Change: stop.rs says for which run there must be time: a likely one while the load balancer may still send callers here, the longest one later. It is asked before placement, before the send to an engine and before each send to a plain server, with the pace of running and ended streams.

--- a/crates/rosemarypitch-forward/src/balance.rs
+++ b/crates/rosemarypitch-forward/src/balance.rs
@@ -10,9 +10,12 @@
 
 use tokio::time::Instant;
 
+use crate::config::RouteKind;
 use crate::deployment::Load;
 use crate::health::{Health, Outcome};
 use crate::registry::Upstream;
+use crate::router::StopPhase;
+use crate::stop::RunTimes;
 
 /// Penalty for another data centre, in units of utilization; crossing costs bandwidth and
 /// latency.
@@ -27,6 +30,10 @@
 #[derive(Debug, Default)]
 pub struct Balancer {
     servers: HashMap<Arc<str>, Server>,
+    /// Times of requests with a single response.
+    requests: RunTimes,
+    /// Times of streams.
+    streams: RunTimes,
 }
 
 #[derive(Debug)]
@@ -88,6 +95,21 @@
         }
     }
 
+    /// Records the time of a request that succeeded.
+    pub fn record_run(&mut self, kind: RouteKind, time: Duration) {
+        self.run_times(kind).record(time);
+    }
+
+    /// Time for which a request must have time when a host accepts it in a phase of its
+    /// shutdown; none if that is not known.
+    pub fn required_time(&mut self, kind: RouteKind, phase: StopPhase) -> Option<Duration> {
+        self.run_times(kind).required(phase)
+    }
+
+    fn run_times(&mut self, kind: RouteKind) -> &mut RunTimes {
+        if kind.is_stream() { &mut self.streams } else { &mut self.requests }
+    }
+
     /// Records a server's load report.
     pub fn report(&mut self, now: Instant, id: &str, load: Load) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -10,7 +10,7 @@
 
 use super::crash;
 use super::prefill::KvCache;
-use super::slot::SlotGuard;
+use super::slot::{self, SlotGuard};
 use super::{
     FAILED_RETRY_AFTER, FailedAttempt, Prepared, Progress, RetryState, build_request, jitter,
     resume,
@@ -64,6 +64,7 @@
     after: Option<&Position>,
 ) -> Result<OpenStream, DecodeFailure> {
     let sent = Instant::now();
+    check_time(router, call, &prepared, after)?;
     let Prepared { mut slot, mut cache, permit } = prepared;
     if let Some(permit) = permit {
         permit.spend();
@@ -130,6 +131,23 @@
     }
 }
 
+/// Refuses a request that is not forecast to end before this host stops, since its prompt took
+/// longer than expected. A stream that is resumed has nothing to lose.
+fn check_time(
+    router: &Router,
+    call: &Call,
+    prepared: &Prepared,
+    after: Option<&Position>,
+) -> Result<(), FailedAttempt> {
+    let (now, required) = (Instant::now(), prepared.slot.required);
+    let can_decode =
+        router.with_pool(&call.service.name, |pool| pool.can_decode(now, required)).unwrap_or(true);
+    if can_decode || after.is_some() {
+        return Ok(());
+    }
+    Err(slot::stopping_refusal(router, call, required).into())
+}
+
 /// Sends a request and waits for the head of its response.
 async fn await_answer(
     router: &Arc<Router>,
@@ -314,7 +332,7 @@
         let now = Instant::now();
         let resumed = now - std::mem::replace(&mut latest, now) >= idle_timeout;
         router.with_pool(&service.name, |pool| {
-            pool.record_output(&engine, ticket, generated);
+            pool.record_output(now, &engine, ticket, generated);
             // The engine went on after a pause, for which it was avoided.
             if resumed {
                 pool.record_outcome(now, &engine, Outcome::Succeeded);
--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -19,6 +19,7 @@
 use crate::refusal::{Cause, Refusal};
 use crate::registry::Upstream;
 use crate::router::{Placement, PlacementRequest, Router};
+use crate::stop;
 
 /// Maximum number of attempts to reserve a slot; each costs a round trip.
 const MAX_RESERVE_ATTEMPTS: u32 = 6;
@@ -44,6 +45,8 @@
     pub ticket: Ticket,
     /// Identifier of the engine's reservation, until it is used.
     pub reservation: Option<Arc<str>>,
+    /// Output tokens for which a host that stops must have time.
+    pub required: u64,
     /// Time at which the pool assigned the slot.
     pub start: Instant,
     end: DecodeEnd,
@@ -87,9 +90,7 @@
         };
         let Placement { ticket, engine } = placed.map_err(|retry| {
             if router.is_stopping() {
-                // The queue of this host says nothing about the others.
-                let retry = jitter(FAILED_RETRY_AFTER);
-                return Refusal::not_run(Cause::Stopping).with_retry_after(retry);
+                return stopping_refusal(router, call, request.required);
             }
             Refusal::not_run(Cause::Busy).with_retry_after(retry_after(call, retry))
         })?;
@@ -100,6 +101,7 @@
             engine,
             ticket,
             reservation: None,
+            required: request.required,
             start: Instant::now(),
             end: DecodeEnd::Cancelled,
         };
@@ -126,6 +128,19 @@
     Err(Refusal::not_run(Cause::Busy).with_retry_after(jitter(FAILED_RETRY_AFTER)))
 }
 
+/// Refusal of a request that would not end before this host does. The queue of this host says
+/// nothing about the others.
+pub fn stopping_refusal(router: &Router, call: &Call, required: u64) -> Refusal {
+    let now = Instant::now();
+    let left = router.stop_times().map(|times| times.exit.saturating_duration_since(now));
+    log::info!(
+        "call: no time before the stop attempt={} tokens={required} left_ms={}",
+        call.meta.attempt,
+        left.unwrap_or_default().as_millis(),
+    );
+    Refusal::not_run(Cause::Stopping).with_retry_after(jitter(FAILED_RETRY_AFTER))
+}
+
 fn placement_request(
     router: &Router,
     call: &Call,
@@ -143,6 +158,7 @@
     let request = PlacementRequest {
         prompt: tokens.prompt,
         estimate,
+        required: stop::required_output(router.phase(), tokens, estimate),
         retried: age > call.route.target,
         due: call.start + call.route.target.saturating_sub(age),
         expires: (call.start + wait).min(call.deadline),
@@ -154,9 +170,11 @@
     let generated = position.events * event_tokens;
     let left = estimate.output.saturating_sub(generated).max(event_tokens);
     let now = Instant::now();
+    // Its caller loses the stream if it isn't resumed, so it is given up only if it cannot end.
     PlacementRequest {
         prompt: tokens.prompt + generated,
         estimate: Estimate { output: left, cost: 0.0 },
+        required: left,
         due: now + call.route.target,
         expires: (now + wait).min(call.deadline),
         ..request
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod router;
 pub mod serve;
 pub mod snapshot;
+pub mod stop;
 pub mod tuning;
 pub mod watchers;
 
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -23,7 +23,7 @@
     self, OpenStream, PrepareFuture, ResponseBody, ResumePolicy, SegmentFuture, Stream, StreamError,
 };
 use crate::retry::{Denial, RetryPermit};
-use crate::router::Router;
+use crate::router::{Router, StopPhase};
 
 use send::{InFlight, SendOutcome};
 
@@ -207,6 +207,9 @@
     };
     let mut next = first.or_else(choose_first);
     while let Some(Chosen { server, permit }) = next {
+        if after.is_none() && state.ran == Ran::No && !has_time(router, call) {
+            return Err(stopping_refusal());
+        }
         state.tried.push(server.upstream.id.clone());
         if let Some(permit) = permit {
             permit.spend();
@@ -255,6 +258,38 @@
     Err(final_refusal(call, state))
 }
 
+/// Whether a request that is sent now is forecast to end before this host stops.
+fn has_time(router: &Router, call: &Call) -> bool {
+    let Some(times) = router.stop_times() else { return true };
+    let now = Instant::now();
+    let (phase, kind) = (router.phase(), call.route.kind);
+    let end = if kind.is_stream() { times.exit } else { times.cut };
+    let required =
+        router.with_balancer(&call.service.name, |balancer| balancer.required_time(kind, phase));
+    let required = match (required.flatten(), phase) {
+        (Some(required), _) => required.max(call.route.target),
+        (None, StopPhase::Running | StopPhase::Leaving) => call.route.target,
+        (None, StopPhase::Finishing | StopPhase::Cutting) => Duration::MAX,
+    };
+    let required = required.min(call.remaining(now));
+    let left = end.saturating_duration_since(now);
+    if required >= left {
+        log::info!(
+            "call: no time before the stop attempt={} required_ms={} left_ms={}",
+            call.meta.attempt,
+            required.as_millis(),
+            left.as_millis(),
+        );
+    }
+    required < left
+}
+
+/// Refusal of a request that would not end before this host does.
+fn stopping_refusal() -> Refusal {
+    let retry = BUSY_RETRY_AFTER.mul_f64(rand::random_range(0.7..1.6));
+    Refusal::not_run(Cause::Stopping).with_retry_after(retry)
+}
+
 fn final_refusal(call: &Call, state: &RetryState) -> Refusal {
     let cause = match (state.ran, state.delivered) {
         _ if call.remaining(Instant::now()).is_zero() => Cause::Timeout,
--- a/crates/rosemarypitch-forward/src/plain/send.rs
+++ b/crates/rosemarypitch-forward/src/plain/send.rs
@@ -13,6 +13,7 @@
 use super::{Chosen, ResponseClass, classify, resume_from, upstream_request};
 use crate::call::Call;
 use crate::client::{self, Exchange, SendError, SendStep};
+use crate::config::RouteKind;
 use crate::deployment::{SendParams, ServingStage};
 use crate::events::Position;
 use crate::health::Outcome;
@@ -262,6 +263,9 @@
     pub upstream: Arc<Upstream>,
     /// Connection to the server, if one has been opened for the request.
     connection: Option<TcpStream>,
+    kind: RouteKind,
+    /// When the server was chosen.
+    start: Instant,
     outcome: Option<Outcome>,
 }
 
@@ -269,7 +273,8 @@
     /// Takes over a request from the balancer.
     pub fn new(router: &Arc<Router>, call: &Call, upstream: Arc<Upstream>) -> Self {
         let service = call.service.name.clone();
-        Self { router: router.clone(), service, upstream, connection: None, outcome: None }
+        let (router, kind, start) = (router.clone(), call.route.kind, Instant::now());
+        Self { router, service, upstream, connection: None, kind, start, outcome: None }
     }
 
     /// Opens a connection to the server; none if that fails, which is recorded.
@@ -296,6 +301,11 @@
     fn drop(&mut self) {
         let now = Instant::now();
         let (id, outcome) = (&self.upstream.id, self.outcome);
-        self.router.with_balancer(&self.service, |balancer| balancer.finish(now, id, outcome));
+        self.router.with_balancer(&self.service, |balancer| {
+            balancer.finish(now, id, outcome);
+            if outcome == Some(Outcome::Succeeded) {
+                balancer.record_run(self.kind, now - self.start);
+            }
+        });
     }
 }
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -15,6 +15,7 @@
 
 mod demand;
 mod engine;
+mod pace;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -31,6 +32,7 @@
 
 use demand::Demand;
 use engine::{Engine, Running};
+use pace::Pace;
 
 /// Time without further attempts after an engine refused a slot; about one event.
 const FULL_PAUSE: Duration = Duration::from_millis(50);
@@ -60,6 +62,8 @@
     pub prompt: u64,
     /// Expected output tokens.
     pub output: u64,
+    /// Output tokens for which a host that stops must have time.
+    pub required: u64,
     /// Expected time in the slot, in any unit that is the same for all requests.
     pub cost: f64,
     /// Whether this is a retry after a refusal.
@@ -108,6 +112,8 @@
     late: Vec<SlotRequest>,
     /// Moving average of the time that a request occupies its slot.
     slot_time: Duration,
+    /// Speed at which streams generate output.
+    pace: Pace,
     /// Moving average of the prefill speed, in prompt tokens per millisecond.
     prefill_speed: f64,
     /// Moving average of the callers' output guesses, in tokens.
@@ -140,6 +146,7 @@
             timely: Vec::new(),
             late: Vec::new(),
             slot_time: INITIAL_SLOT_TIME,
+            pace: Pace::default(),
             prefill_speed: INITIAL_PREFILL_SPEED,
             mean_guess: None,
             demand: Demand::default(),
@@ -178,9 +185,10 @@
         }
     }
 
-    /// Sets when this host stops; requests that it could not finish by then are refused.
-    pub fn set_end(&mut self, end: Instant) {
-        self.end = Some(end);
+    /// Sets when this host stops, if it does; requests that it could not finish by then are
+    /// refused.
+    pub fn set_end(&mut self, end: Option<Instant>) {
+        self.end = end;
     }
 
     /// Sets the engines that are assigned to this host's row.
@@ -223,10 +231,10 @@
     }
 
     /// Records the output tokens that a request has generated so far.
-    pub fn record_output(&mut self, id: &str, ticket: Ticket, generated: u64) {
+    pub fn record_output(&mut self, now: Instant, id: &str, ticket: Ticket, generated: u64) {
         let engine = self.engines.get_mut(id);
         if let Some(running) = engine.and_then(|engine| engine.running.get_mut(&ticket)) {
-            running.generated = generated;
+            running.progress.record(now, generated);
         }
     }
 
@@ -283,6 +291,7 @@
             return decisions;
         }
         self.demote(now);
+        self.refuse_unfinished(now, &mut decisions);
         self.place(now, &mut decisions);
         self.refuse(now, &mut decisions);
         decisions
@@ -298,15 +307,38 @@
         self.late.sort_by(|a, b| b.retried.cmp(&a.retried).then(a.cost.total_cmp(&b.cost)));
     }
 
+    /// Refuses the requests that could not end before this host stops, even if they were placed
+    /// now.
+    fn refuse_unfinished(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
+        let queued = self.timely.iter().chain(&self.late);
+        let unfinished = queued.filter(|request| !self.can_finish(now, Duration::ZERO, request));
+        for ticket in unfinished.map(|request| request.ticket).collect::<Vec<_>>() {
+            self.cancel(ticket);
+            decisions.push(Decision::Refuse(ticket, Duration::ZERO));
+        }
+    }
+
+    /// Whether a request that is placed after `wait` is forecast to end before this host stops.
+    fn can_finish(&self, now: Instant, wait: Duration, request: &SlotRequest) -> bool {
+        let Some(end) = self.end else { return true };
+        let time = wait + self.prefill_time(request.prompt) + self.output_time(request.required);
+        time < end.saturating_duration_since(now)
+    }
+
+    /// Whether a request whose prompt has been prefilled is forecast to end before this host
+    /// stops, given the output tokens for which it must have time.
+    pub fn can_decode(&self, now: Instant, required: u64) -> bool {
+        let left = self.end.map(|end| end.saturating_duration_since(now));
+        left.is_none_or(|left| self.output_time(required) < left)
+    }
+
     fn place(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
         // The head of the queue blocks until it fits. Otherwise small requests could starve
         // a large one for as long as they arrive.
         while let Some(request) = self.timely.first().or(self.late.first()).copied() {
             let Some(id) = self.best_decode_engine(now, &request) else { return };
             let Some(engine) = self.engines.get_mut(&id) else { return };
-            let running =
-                Running { prompt: request.prompt, generated: 0, expected: request.output };
-            engine.running.insert(request.ticket, running);
+            engine.running.insert(request.ticket, Running::new(&request));
             decisions.push(Decision::Place(request.ticket, engine.upstream.clone()));
             self.in_use.insert(id);
             let queue = if self.timely.is_empty() { &mut self.late } else { &mut self.timely };
@@ -324,8 +356,7 @@
         let named = self.engines.get_key_value(id);
         self.cheapest(now, request, named.into_iter())?;
         let engine = self.engines.get_mut(id)?;
-        let running = Running { prompt: request.prompt, generated: 0, expected: request.output };
-        engine.running.insert(request.ticket, running);
+        engine.running.insert(request.ticket, Running::new(request));
         self.in_use.insert(id.clone());
         Some(engine.upstream.clone())
     }
@@ -335,9 +366,9 @@
     fn refuse(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
         let drain = self.drain_rate();
         let spare = (drain - self.demand.rate(now)).max(drain * MIN_LATE_FRACTION);
-        let left = self.end.map(|end| end.saturating_duration_since(now).as_secs_f64());
         let is_cut = |request: &SlotRequest, ahead: f64| {
-            left.is_some_and(|left| ahead / drain + self.run_time(request) >= left)
+            let wait = Duration::try_from_secs_f64(ahead / drain).unwrap_or(Duration::MAX / 2);
+            !self.can_finish(now, wait, request)
         };
         let mut ahead = 0.0;
         let mut refused = Vec::new();
@@ -379,10 +410,14 @@
         (memory / self.slot_time.as_secs_f64().max(0.001)).max(1.0)
     }
 
-    /// Forecast time that a request occupies its slot, in seconds; no more than the average.
-    fn run_time(&self, request: &SlotRequest) -> f64 {
-        let mean = self.mean_guess.unwrap_or(0.0).max(1.0);
-        self.slot_time.as_secs_f64() * (request.output as f64 / mean).min(1.0)
+    /// Forecast time to generate output tokens.
+    fn output_time(&self, tokens: u64) -> Duration {
+        let running = self.engines.values().flat_map(|engine| engine.running.values());
+        let measured = self.pace.token_time(running.map(|running| &running.progress));
+        let mean_output = self.mean_guess.unwrap_or(0.0).max(1.0);
+        let token_time = measured.unwrap_or(self.slot_time.as_secs_f64() / mean_output);
+        let time = Duration::try_from_secs_f64(token_time * tokens as f64);
+        time.unwrap_or(Duration::MAX / 2)
     }
 
     /// Memory of one engine that requests may occupy, in tokens.
@@ -509,7 +544,10 @@
             self.slot_time = Duration::from_secs_f64(mean.max(0.0));
         }
         let Some(engine) = self.engines.get_mut(id) else { return };
-        engine.running.remove(&ticket);
+        let running = engine.running.remove(&ticket);
+        if let (DecodeEnd::Finished(_), Some(running)) = (end, running) {
+            self.pace.record(&running.progress);
+        }
         if engine.running.is_empty() {
             self.in_use.remove(id);
         }
--- a/crates/rosemarypitch-forward/src/pool/engine.rs
+++ b/crates/rosemarypitch-forward/src/pool/engine.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use super::pace::Progress;
 use super::{SlotRequest, Ticket};
 use crate::health::Health;
 use crate::memory::{self, StreamUse};
@@ -34,16 +35,22 @@
 pub struct Running {
     /// Prompt tokens.
     pub prompt: u64,
-    /// Output tokens generated so far.
-    pub generated: u64,
+    /// Output so far.
+    pub progress: Progress,
     /// Expected output tokens in total.
     pub expected: u64,
 }
 
 impl Running {
+    /// A request that has been assigned a slot.
+    pub fn new(request: &SlotRequest) -> Self {
+        let progress = Progress::default();
+        Self { prompt: request.prompt, progress, expected: request.output }
+    }
+
     /// Current and expected memory of the stream.
     pub fn stream_use(&self) -> StreamUse {
-        memory::stream_use(self.prompt, self.generated, self.expected)
+        memory::stream_use(self.prompt, self.progress.generated, self.expected)
     }
 }
 
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -29,6 +29,7 @@
 use crate::quota::{self, Quota, QuotaRules, Share};
 use crate::registry::{Upstream, UpstreamRegistry};
 use crate::snapshot::{Snapshot, SnapshotVersion};
+use crate::stop::StopTimes;
 use crate::tuning::PoolTuning;
 use crate::watchers::{self, RelayedUpdates, UpdateLog};
 
@@ -91,6 +92,7 @@
     pub metrics: Metrics,
     /// Progress of the shutdown.
     pub stop_phase: watch::Sender<StopPhase>,
+    stop_times: Mutex<Option<StopTimes>>,
     /// Requests that have no complete response yet.
     pub open_calls: Arc<OpenCalls>,
     config: RwLock<Option<Arc<ConfigSnapshot>>>,
@@ -150,6 +152,7 @@
             directory,
             metrics: Metrics::new(),
             stop_phase: watch::channel(StopPhase::Running).0,
+            stop_times: Mutex::default(),
             open_calls: Arc::default(),
             config: RwLock::new(None),
             current_at: Mutex::new(None),
@@ -328,16 +331,27 @@
         let _ = self.stop_phase.subscribe().wait_for(|current| *current >= phase).await;
     }
 
-    /// Starts a graceful shutdown, in which requests have to end by `end`.
-    pub fn stop_by(&self, end: Instant) {
+    /// Starts a graceful shutdown, in which requests have to end by the given times.
+    pub fn stop_by(&self, times: StopTimes) {
         self.stop_phase.send_replace(StopPhase::Leaving);
-        self.for_each_pool(|pool| pool.set_end(end));
+        *lock(&self.stop_times) = Some(times);
+        self.for_each_pool(|pool| pool.set_end(Some(times.exit)));
         self.dispatch(Instant::now());
     }
 
+    /// Times by which the requests of a stopping host have to end; none while it runs.
+    pub fn stop_times(&self) -> Option<StopTimes> {
+        *lock(&self.stop_times)
+    }
+
+    /// Current phase of the shutdown.
+    pub fn phase(&self) -> StopPhase {
+        *self.stop_phase.borrow()
+    }
+
     /// Whether the host is stopping.
     pub fn is_stopping(&self) -> bool {
-        *self.stop_phase.borrow() != StopPhase::Running
+        self.phase() != StopPhase::Running
     }
 
     /// Marks the host as ready for callers once it has a configuration and its limits have
@@ -406,6 +420,8 @@
                     let create = || Pool::new(size, self.settings.zone.clone(), self.settings.pool);
                     let pool = pools.pools.entry(name.clone()).or_insert_with(create);
                     pool.set_engines(&list, size, hosts);
+                    // A service may be added while the host stops.
+                    pool.set_end(self.stop_times().map(|times| times.exit));
                     pool.set_preferred(preferred_engines(&lock(&self.layout), &list));
                 }
                 None => lock(&self.balancers).entry(name.clone()).or_default().set_servers(&list),
--- a/crates/rosemarypitch-forward/src/router/placement.rs
+++ b/crates/rosemarypitch-forward/src/router/placement.rs
@@ -136,6 +136,8 @@
     pub prompt: u64,
     /// Estimated output and time in the slot.
     pub estimate: Estimate,
+    /// Output tokens for which a host that stops must have time.
+    pub required: u64,
     /// Whether this is a retry after a refusal.
     pub retried: bool,
     /// Target for the first event to reach the caller.
@@ -148,9 +150,9 @@
 
 impl PlacementRequest {
     fn with_ticket(self, ticket: Ticket) -> SlotRequest {
-        let Self { prompt, estimate, retried, due, expires, requeued: _ } = self;
+        let Self { prompt, estimate, required, retried, due, expires, requeued: _ } = self;
         let Estimate { output, cost } = estimate;
-        SlotRequest { ticket, prompt, output, cost, retried, due, expires }
+        SlotRequest { ticket, prompt, output, required, cost, retried, due, expires }
     }
 }
 
--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::control;
 use crate::gossip::Gossip;
 use crate::router::{Router, StopPhase};
+use crate::stop::StopTimes;
 
 /// Time during which a stopping host still accepts callers: two readiness probes of the load
 /// balancer, one second apart, and some slack.
@@ -105,8 +106,9 @@
 pub async fn shut_down(router: &Router, open: &AtomicUsize) {
     let (start, grace) = (Instant::now(), router.limits().grace);
     let cut = start + grace.saturating_sub(CUT_MARGIN);
+    let exit = start + grace.saturating_sub(EXIT_MARGIN);
     log::info!("server: stopping open={}", open.load(Ordering::Relaxed));
-    router.stop_by(cut);
+    router.stop_by(StopTimes { cut, exit });
     tokio::time::sleep(DRAIN_NOTICE.min(grace / 2)).await;
     router.stop_phase.send_replace(StopPhase::Finishing);
     // Connections that have not been accepted yet are not counted.
@@ -116,8 +118,7 @@
         router.stop_phase.send_replace(StopPhase::Cutting);
         // A short grace period may be over.
         let min_end = Instant::now() + POLL_INTERVAL;
-        let end = start + grace.saturating_sub(EXIT_MARGIN);
-        wait_closed(open, end.max(min_end)).await;
+        wait_closed(open, exit.max(min_end)).await;
     }
     router.open_calls.log_cut(Instant::now());
     log::info!(
--- a/crates/rosemarypitch-forward/tests/pool.rs
+++ b/crates/rosemarypitch-forward/tests/pool.rs
@@ -38,6 +38,7 @@
         ticket,
         prompt: 5_000,
         output: 5_000,
+        required: 5_000,
         cost: 1.0,
         retried: false,
         due: now + TARGET,
@@ -247,7 +248,8 @@
                 let end = DecodeEnd::Finished(now - stream.started);
                 pool.release(now, &stream.engine, stream.ticket, end);
             } else {
-                pool.record_output(&stream.engine, stream.ticket, generated(now - stream.started));
+                let output = generated(now - stream.started);
+                pool.record_output(now, &stream.engine, stream.ticket, output);
             }
             !ended
         });
