--- a/crates/rosemarypitch-forward/src/stop.rs
+++ b/crates/rosemarypitch-forward/src/stop.rs
@@ -17,9 +17,7 @@
 use crate::pool::Estimate;
 use crate::router::StopPhase;
 
-/// Output of a likely run, as a multiple of the estimate.
-const LIKELY_OUTPUT: f64 = 1.0;
-/// Time of a long run, in multiples of its forecast.
+/// Longest time of a run, in multiples of the forecast for its longest output.
 const PACE_MARGIN: f64 = 1.25;
 /// Time of a likely run, in multiples of the mean.
 const LIKELY_TIME: f64 = 2.0;
@@ -40,10 +38,7 @@
 /// Output tokens for which a request must have time when it is accepted in `phase`.
 pub fn required_output(phase: StopPhase, tokens: Tokens, estimate: Estimate) -> u64 {
     match phase {
-        StopPhase::Running | StopPhase::Leaving => {
-            let likely = (estimate.output as f64 * LIKELY_OUTPUT) as u64;
-            likely.min(tokens.output)
-        }
+        StopPhase::Running | StopPhase::Leaving => estimate.output,
         StopPhase::Finishing | StopPhase::Cutting => (tokens.output as f64 * PACE_MARGIN) as u64,
     }
 }
--- a/crates/rosemarypitch-forward/tests/stopping.rs
+++ b/crates/rosemarypitch-forward/tests/stopping.rs
@@ -122,8 +122,8 @@
 
 /// Before the load balancer knows of the stop a likely run has to end in time, later the longest.
 #[rstest]
-#[case::likely(StopPhase::Leaving, 1_000, 1_250)]
-#[case::no_more_than_allowed(StopPhase::Leaving, 4_000, 4_500)]
+#[case::likely(StopPhase::Leaving, 1_000, 1_000)]
+#[case::running(StopPhase::Running, 4_000, 4_000)]
 #[case::longest(StopPhase::Finishing, 1_000, 5_625)]
 fn output_for_which_a_stopping_host_must_have_time(
     #[case] phase: StopPhase,
