Registry: a call to the store that fails is no outage by itself

Cause: each failed call to the store, such as a watch that was cut, counted as an outage in which live servers may have lost their entries. Missing entries were kept for 2.3 s, and each further failure prolonged that. Beside it, a host that keeps missing entries relayed them to a peer that is cut off, which took them for registered ones for good.

Change: an outage counts only if the store was away for a whole renewal interval (heartbeatMs); a host that keeps missing entries relays no state.

--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -4,6 +4,10 @@
 //! leaving upstream for longer than allowed, and a watch that returns nothing in time means
 //! that the store is lost. A host that has lost the store keeps its last state.
 //!
+//! Registrations of live upstreams lapse in an outage of the store, but only in one that lasts
+//! longer than upstreams need to miss several renewals. After a shorter one, such as a watch that
+//! was cut and whose successor is answered, a removed entry means that the upstream has left.
+//!
 //! In a large row most hosts request the updates from one of the row's watchers instead, and
 //! fall back to the store; see [`watchers`].
 
@@ -43,7 +47,7 @@
         router,
         gossip,
         secret: Some(secret),
-        outage: false,
+        lost_at: None,
         backoff: MIN_BACKOFF,
         revision: 0,
         full_read: true,
@@ -63,12 +67,21 @@
     max_delay.saturating_sub(SILENCE_MARGIN).max(MIN_WATCH_TIMEOUT)
 }
 
+/// The next updates of the store.
+struct NextUpdates {
+    result: Result<Updates, DirectoryError>,
+    /// The updates reflect the store as it was so long ago.
+    age: Duration,
+    /// How long the store was asked to wait for them.
+    wait: Duration,
+}
+
 struct Follower {
     router: Arc<Router>,
     gossip: Arc<Gossip>,
     secret: Option<oneshot::Sender<Arc<str>>>,
-    /// Whether calls to the store have failed since it last answered.
-    outage: bool,
+    /// Since when the store may have been away, if calls have failed since it last answered.
+    lost_at: Option<Instant>,
     backoff: Duration,
     revision: u64,
     /// Whether all entries have to be read: at the start, after the store has compacted its
@@ -82,24 +95,24 @@
 impl Follower {
     /// Reads all entries; false if the store does not answer.
     async fn read(&mut self) -> bool {
+        let start = Instant::now();
         let entries = match self.read_all().await {
             Ok(entries) => entries,
             Err(error) => {
-                self.mark_lost(&error);
+                self.mark_lost(start, &error);
                 return false;
             }
         };
+        let now = Instant::now();
+        let outage = self.mark_reachable(now);
         log::info!(
-            "control: store read revision={} facts={} outage={}",
+            "control: store read revision={} facts={} outage={outage}",
             entries.revision,
             entries.updates.len(),
-            self.outage,
         );
-        let now = Instant::now();
         let (upstreams, rest): (Vec<Update>, Vec<Update>) =
             entries.updates.into_iter().partition(|update| matches!(update, Update::Upstream(_)));
         let upstreams = upstreams.into_iter().filter_map(into_upstream).collect();
-        let outage = self.mark_reachable();
         let hosts: Vec<Arc<str>> = rest.iter().filter_map(host_name).collect();
         for update in rest {
             self.apply(now, update);
@@ -156,13 +169,14 @@
                 self.backoff = Duration::ZERO;
                 return;
             }
-            let (result, age) = self.next_updates(now).await;
+            let start = now;
+            let NextUpdates { result, age, wait } = self.next_updates(now).await;
             let now = Instant::now();
             match result {
                 Ok(Updates { updates, revision }) => {
                     self.router.record_updates(revision, updates.clone());
                     self.revision = self.revision.max(revision);
-                    if self.mark_reachable() {
+                    if self.mark_reachable(now) {
                         self.router.update_registry(now, |registry| registry.keep_missing(now));
                     }
                     let received = !updates.is_empty();
@@ -186,32 +200,37 @@
                     self.backoff = MAX_BACKOFF;
                     return;
                 }
-                Err(error) => return self.mark_lost(&error),
+                // A watch that fails before its time was answered, or broken off, just now.
+                Err(error) => {
+                    let lost_at = if now - start < wait { now } else { start };
+                    return self.mark_lost(lost_at, &error);
+                }
             }
         }
     }
 
-    /// Waits for the next updates, from the row's watcher or the store. They reflect the store
-    /// as it was the returned time ago.
-    async fn next_updates(&self, now: Instant) -> (Result<Updates, DirectoryError>, Duration) {
+    /// Waits for the next updates, from the row's watcher or the store.
+    async fn next_updates(&self, now: Instant) -> NextUpdates {
         let source = self.gossip.update_source(now);
         if let Source::Peer(watcher) = &source
-            && !self.outage
+            && self.lost_at.is_none()
             && let Some(relayed) = self.gossip.relayed_updates(watcher, self.revision).await
         {
             let RelayedUpdates { updates, revision, age_ms } = relayed;
-            return (Ok(Updates { updates, revision }), Duration::from_millis(age_ms));
+            let (result, age) = (Ok(Updates { updates, revision }), Duration::from_millis(age_ms));
+            return NextUpdates { result, age, wait: Duration::ZERO };
         }
         let now = Instant::now();
         let due = self.router.registry_expiry().map(|due| due.saturating_duration_since(now));
         // After an outage the first watch only checks whether the store is back.
         let max_wait = match source {
-            _ if self.outage => Duration::ZERO,
+            _ if self.lost_at.is_some() => Duration::ZERO,
             Source::Store { watcher: true } => self.watch_timeout().min(watchers::WATCH_TIME),
             Source::Store { watcher: false } | Source::Peer(_) => self.watch_timeout(),
         };
         let wait = due.unwrap_or(max_wait).min(max_wait);
-        (self.router.directory.watch(self.revision, wait).await, Duration::ZERO)
+        let result = self.router.directory.watch(self.revision, wait).await;
+        NextUpdates { result, age: Duration::ZERO, wait }
     }
 
     fn watch_timeout(&self) -> Duration {
@@ -261,20 +280,29 @@
         }
     }
 
-    /// Records that the store answers; true if it did not before.
-    fn mark_reachable(&mut self) -> bool {
+    /// Records that the store answers; true if it was away for so long that registrations of live
+    /// upstreams may have lapsed.
+    fn mark_reachable(&mut self, now: Instant) -> bool {
         self.backoff = MIN_BACKOFF;
         self.router.set_store_lost(false);
-        let outage = std::mem::take(&mut self.outage);
-        if outage {
-            log::info!("control: store reachable again revision={}", self.revision);
-            self.reread_at = Some(Instant::now() + announce::ENTRY_TTL);
+        let Some(lost_at) = self.lost_at.take() else { return false };
+        let away = now.saturating_duration_since(lost_at);
+        // A shorter outage costs a live upstream one renewal, and its registration outlasts that.
+        let lapsed = away >= self.router.limits().renewal;
+        log::info!(
+            "control: store reachable again revision={} away_ms={} lapsed={lapsed}",
+            self.revision,
+            away.as_millis(),
+        );
+        if lapsed {
+            self.reread_at = Some(now + announce::ENTRY_TTL);
         }
-        outage
+        lapsed
     }
 
-    fn mark_lost(&mut self, error: &DirectoryError) {
-        self.outage = true;
+    /// Records that the store does not answer, perhaps since `lost_at`.
+    fn mark_lost(&mut self, lost_at: Instant, error: &DirectoryError) {
+        self.lost_at.get_or_insert(lost_at);
         if self.router.set_store_lost(true) {
             log::warn!("control: store lost revision={} {error}", self.revision);
         }
--- a/crates/rosemarypitch-forward/src/registry.rs
+++ b/crates/rosemarypitch-forward/src/registry.rs
@@ -1,7 +1,7 @@
 //! Registry of known upstreams, and which of them accept new requests.
 //!
-//! Registrations of live upstreams may lapse during an outage of the store. A list that is
-//! read after an outage therefore removes nothing at once. A registration that is missing
+//! Registrations of live upstreams may lapse during a long outage of the store. A list that is
+//! read after one therefore removes nothing at once. A registration that is missing
 //! from it is removed if it is still missing after [`REREGISTER_TIME`].
 
 use std::collections::HashMap;
@@ -127,6 +127,11 @@
         self.keep_until
     }
 
+    /// Whether an entry is kept although it is missing from the store.
+    pub fn has_missing(&self) -> bool {
+        self.entries.values().any(|entry| entry.missing)
+    }
+
     /// All upstreams, whether or not they accept new requests.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.entries.values().map(|entry| &entry.upstream)
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -72,6 +72,8 @@
     pub grace: Duration,
     /// Longest time until changes in the store have to be in force.
     pub news: Duration,
+    /// Time after which upstreams renew their registrations.
+    pub renewal: Duration,
     /// Rules of the retry budgets.
     pub repeats: RepeatRules,
     /// Tolerances of the limits kept by many hosts.
@@ -277,15 +279,20 @@
     }
 
     /// State of the store for a peer at the position `have`; none if this host may be stale
-    /// itself, or is behind that position.
+    /// itself, is behind that position, or still waits for upstreams to register again.
     pub fn state_since(&self, now: Instant, have: SnapshotVersion) -> Option<Snapshot> {
         if !self.is_current(now) {
             return None;
         }
         let position = self.store_position();
         let config = self.config().filter(|config| config.version > have.version);
-        let upstreams =
-            lock(&self.registry).all().map(|upstream| upstream.as_ref().clone()).collect();
+        let registry = lock(&self.registry);
+        // The peer would take an entry that is missing from the store for one that is registered.
+        if registry.has_missing() {
+            return None;
+        }
+        let upstreams = registry.all().map(|upstream| upstream.as_ref().clone()).collect();
+        drop(registry);
         let snapshot = Snapshot { revision: position.revision, config, upstreams };
         // Also sent if nothing is newer: it confirms to the peer that its state is current.
         (snapshot.revision >= have.revision).then_some(snapshot)
