Read Server-Leaving in all answers, with or without the store

Cause: nothing read the header; a leaving was known from the store alone.

Change: the header is read in plain, streamed, decode, prefill and refusing answers and in those to engine commands. A slot reserved with such an answer is given back. The neighbours in the row are told once. Answers of another attempt and 421 count for nothing.

--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -124,6 +124,8 @@
     pub signed: bool,
     /// Current load of the upstream.
     pub load: Option<Load>,
+    /// Whether the upstream reports that it leaves.
+    pub leaving: bool,
     /// Whether the body has a content encoding; upstreams never apply one.
     pub encoded: bool,
 }
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -200,7 +200,11 @@
     let (head, body) = exchange.response.into_parts();
     let meta = router.dialect.parse_response(&head);
     let prefill_engine = cache.as_ref().map(|cache| cache.source.engine.clone());
-    match plain::classify(&meta, &call.meta.attempt, head.status) {
+    let class = plain::classify(&meta, &call.meta.attempt, head.status);
+    if class != ResponseClass::Mismatched {
+        router.observe_response(&slot.engine, head.status, &meta);
+    }
+    match class {
         ResponseClass::NotRun => {
             handle_not_run(router, call, state, slot, prefill_engine);
             let refusal =
--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -111,7 +111,10 @@
             let (head, body) = response.into_parts();
             // The handle of another request would lead to the memory of that request.
             let meta = router.dialect.parse_response(&head);
-            let own = meta.attempt.is_none_or(|attempt| attempt == call.meta.attempt);
+            let own = meta.attempt.as_ref().is_none_or(|attempt| *attempt == call.meta.attempt);
+            if own {
+                router.observe_response(&engine, head.status, &meta);
+            }
             let usable = head.status == StatusCode::OK && own && !meta.encoded;
             let handle = usable.then(|| router.dialect.cache_handle(&body)).flatten();
             let end = match handle {
--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -112,7 +112,11 @@
         match reserve_slot(router, call, &slot.engine, &request).await {
             Ok(Some(reservation)) => {
                 slot.reservation = Some(reservation);
-                return Ok(slot);
+                if router.is_usable_engine(&slot.engine) {
+                    return Ok(slot);
+                }
+                let (attempt, engine) = (&call.meta.attempt, &slot.engine.id);
+                log::info!("call: slot given up attempt={attempt} engine={engine} leaves");
             }
             Ok(None) => {
                 let now = Instant::now();
@@ -199,10 +203,12 @@
     let response = tokio::time::timeout(COMMAND_TIMEOUT, exchange).await;
     let response = response.unwrap_or_else(|_| Err(timeout_error(engine)))?;
     router.metrics.count_send("hold", response.status().as_str());
-    if response.status() != StatusCode::OK {
+    let (head, body) = response.into_parts();
+    router.observe_response(engine, head.status, &router.dialect.parse_response(&head));
+    if head.status != StatusCode::OK {
         return Ok(None);
     }
-    Ok(router.dialect.reservation_id(response.body()))
+    Ok(router.dialect.reservation_id(&body))
 }
 
 /// `Retry-After` for a caller that finds all engines full.
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Exchanges of reports, store state and crash records with the other hosts.
 
 mod crashes;
+mod departures;
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -133,6 +134,7 @@
         tokio::spawn(self.clone().sync_while_lost(peers.clone()));
         tokio::spawn(self.clone().exchange_with_partners(peers.clone()));
         tokio::spawn(self.clone().share_crashes(peers.clone()));
+        tokio::spawn(self.clone().share_departures(peers.clone()));
         tokio::spawn(self.clone().run_pool_updates());
         let mut due = Instant::now();
         loop {
@@ -457,6 +459,10 @@
                 PeerRequest::Crashes(batch) => {
                     PeerReply::Crashes(self.receive_crashes(from, &batch))
                 }
+                PeerRequest::Departures(departures) => {
+                    self.receive_departures(&from.host, &departures);
+                    PeerReply::Done
+                }
                 _ => PeerReply::NotOwner,
             }
         })
--- a/crates/rosemarypitch-forward/src/plain/send.rs
+++ b/crates/rosemarypitch-forward/src/plain/send.rs
@@ -154,6 +154,9 @@
             .with_balancer(&call.service.name, |balancer| balancer.report(now, &upstream.id, load));
     }
     let class = classify(&meta, &call.meta.attempt, head.status);
+    if class != ResponseClass::Mismatched {
+        router.observe_response(upstream, head.status, &meta);
+    }
     let exchange = Exchange { response: Response::new(body), connection };
     let success = class == ResponseClass::Genuine && head.status.is_success();
     if success && call.route.kind.is_stream() {
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -185,6 +185,12 @@
         }
     }
 
+    /// Whether a run of an engine is among the usable ones.
+    pub fn is_usable(&self, engine: &Upstream) -> bool {
+        let known = self.engines.get(&engine.id);
+        known.is_some_and(|known| known.upstream.incarnation == engine.incarnation)
+    }
+
     /// Sets when this host stops, if it does; requests that it could not finish by then are
     /// refused.
     pub fn set_end(&mut self, end: Option<Instant>) {
--- a/crates/rosemarypitch-forward/src/registry.rs
+++ b/crates/rosemarypitch-forward/src/registry.rs
@@ -3,6 +3,10 @@
 //! Registrations of live upstreams may lapse during a long outage of the store. A list that is
 //! read after one therefore removes nothing at once. A registration that is missing
 //! from it is removed if it is still missing after [`REREGISTER_TIME`].
+//!
+//! An upstream that leaves may also say so in its responses, or a neighbour may have got such a
+//! response. It then gets no new requests, whatever the store or a copy of its state says of this
+//! run of it; only a later run is used again.
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -16,6 +20,10 @@
 /// specifies about two seconds.
 pub const REREGISTER_TIME: Duration = Duration::from_millis(2_300);
 
+/// Time for which an announcement is remembered after the upstream's entry is gone; longer than
+/// an upstream that leaves goes on running.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+
 /// Registration of an upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Upstream {
@@ -69,6 +77,8 @@
     entries: HashMap<Arc<str>, Entry>,
     /// End of the time in which missing entries are kept after an outage.
     keep_until: Option<Instant>,
+    /// Upstreams that have announced that they leave.
+    leaving: HashMap<Arc<str>, Leaving>,
 }
 
 #[derive(Debug)]
@@ -77,6 +87,14 @@
     missing: bool,
 }
 
+/// Announcement of an upstream that it leaves.
+#[derive(Debug)]
+struct Leaving {
+    /// Run of the upstream that leaves.
+    incarnation: u64,
+    learned_at: Instant,
+}
+
 impl UpstreamRegistry {
     /// Replaces all entries by the store's list; `outage` if the store was unavailable
     /// before, in which case missing entries are kept for a time.
@@ -100,10 +118,38 @@
 
     /// Adds or updates an entry.
     pub fn put(&mut self, upstream: Upstream) {
+        self.leaving.retain(|id, leaving| {
+            *id != upstream.id || upstream.incarnation <= leaving.incarnation
+        });
         let entry = Entry { upstream: Arc::new(upstream), missing: false };
         self.entries.insert(entry.upstream.id.clone(), entry);
     }
 
+    /// Records that a run of an upstream has announced that it leaves; true if it was usable until
+    /// now.
+    pub fn mark_leaving(&mut self, now: Instant, id: &Arc<str>, incarnation: u64) -> bool {
+        self.leaving.retain(|id, leaving| {
+            let age = now.saturating_duration_since(leaving.learned_at);
+            age < LEAVING_MEMORY || self.entries.contains_key(id)
+        });
+        let known = self.leaving.get(id).is_some_and(|known| known.incarnation >= incarnation);
+        let entry = self.entries.get(id);
+        let used = entry.is_some_and(|entry| {
+            entry.upstream.incarnation <= incarnation
+                && entry.upstream.state == UpstreamState::Ready
+        });
+        if !known {
+            self.leaving.insert(id.clone(), Leaving { incarnation, learned_at: now });
+        }
+        used && !known
+    }
+
+    /// Whether an upstream has announced that it leaves.
+    fn is_leaving(&self, upstream: &Upstream) -> bool {
+        let leaving = self.leaving.get(&upstream.id);
+        leaving.is_some_and(|leaving| upstream.incarnation <= leaving.incarnation)
+    }
+
     /// Marks an entry as missing, and removes it unless missing entries are kept now.
     pub fn remove(&mut self, now: Instant, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
@@ -139,6 +185,7 @@
 
     /// Upstreams that accept new requests.
     pub fn usable(&self) -> impl Iterator<Item = &Arc<Upstream>> {
-        self.all().filter(|upstream| upstream.state == UpstreamState::Ready)
+        self.all()
+            .filter(|upstream| upstream.state == UpstreamState::Ready && !self.is_leaving(upstream))
     }
 }
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -12,6 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
+use http::StatusCode;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
@@ -20,7 +21,7 @@
 use crate::config::ConfigSnapshot;
 use crate::control;
 use crate::crash_exchange;
-use crate::deployment::{Dialect, Directory, Update, Updates};
+use crate::deployment::{Dialect, Directory, ResponseMeta, Update, Updates};
 use crate::layout::Layout;
 use crate::metrics::Metrics;
 use crate::open_calls::OpenCalls;
@@ -117,6 +118,9 @@
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
     quarantine: Mutex<Quarantine>,
     crash_change: Notify,
+    /// Upstreams that leave, of which the neighbours have not been told.
+    departures: Mutex<Vec<(Arc<str>, u64)>>,
+    departed: Notify,
     limits: Mutex<LimitSettings>,
     next_ticket: AtomicU64,
     ready: AtomicBool,
@@ -173,6 +177,8 @@
             budgets: Mutex::default(),
             quarantine: Mutex::default(),
             crash_change: Notify::new(),
+            departures: Mutex::default(),
+            departed: Notify::new(),
             limits,
             next_ticket: AtomicU64::new(1),
             ready: AtomicBool::new(false),
@@ -407,6 +413,49 @@
         result
     }
 
+    /// Whether an engine still accepts requests; one that has been chosen may leave before the
+    /// request is sent.
+    pub fn is_usable_engine(&self, engine: &Upstream) -> bool {
+        self.with_pool(&engine.service, |pool| pool.is_usable(engine)).unwrap_or(false)
+    }
+
+    /// Stops to use an upstream if a response of it says that it leaves.
+    ///
+    /// A response for another upstream's identifier comes from a later user of the address.
+    pub fn observe_response(&self, upstream: &Upstream, status: StatusCode, meta: &ResponseMeta) {
+        if meta.leaving && status != StatusCode::MISDIRECTED_REQUEST {
+            let (id, incarnation) = (&upstream.id, upstream.incarnation);
+            if self.mark_leaving(Instant::now(), id, incarnation, "response") {
+                lock(&self.departures).push((id.clone(), incarnation));
+                self.departed.notify_one();
+            }
+        }
+    }
+
+    /// Waits for upstreams that have said in a response that they leave, to tell the neighbours:
+    /// their identifiers and incarnations.
+    pub async fn next_departures(&self) -> Vec<(Arc<str>, u64)> {
+        self.departed.notified().await;
+        std::mem::take(&mut *lock(&self.departures))
+    }
+
+    /// Stops to use a run of an upstream that leaves; `source` says from whom that is known. True
+    /// if it was used until now.
+    pub fn mark_leaving(
+        &self,
+        now: Instant,
+        id: &Arc<str>,
+        incarnation: u64,
+        source: &str,
+    ) -> bool {
+        let used = lock(&self.registry).mark_leaving(now, id, incarnation);
+        if used {
+            log::info!("control: upstream leaves upstream={id} born={incarnation} source={source}");
+            self.apply_upstreams(now);
+        }
+        used
+    }
+
     /// When [`UpstreamRegistry::expire`] is due next; none if nothing expires.
     pub fn registry_expiry(&self) -> Option<Instant> {
         lock(&self.registry).next_expiry()
--- a/crates/rosemarypitch-gateway/src/handler.rs
+++ b/crates/rosemarypitch-gateway/src/handler.rs
@@ -52,7 +52,8 @@
         | PeerRequest::Row(_)
         | PeerRequest::Snapshot { .. }
         | PeerRequest::Updates { .. }
-        | PeerRequest::Crashes(_) => PeerReply::NotOwner,
+        | PeerRequest::Crashes(_)
+        | PeerRequest::Departures(_) => PeerReply::NotOwner,
         PeerRequest::Verify(attempts) => {
             let mut not_running = attempts;
             not_running.retain(|attempt| !host.running.contains(attempt));
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -68,6 +68,9 @@
     },
     /// Sends and offers records of crashed engines, encoded.
     Crashes(Vec<u8>),
+    /// Names upstreams that have said in a response that they leave: their identifiers and
+    /// incarnations.
+    Departures(Vec<(Arc<str>, u64)>),
 }
 
 /// A reply to a [`PeerRequest`].
