Send a request only to an engine that is still usable after its prompt

Cause: the engine was chosen before the prompt was prefilled, and nothing asked again before the send.

Change: after the prefill, a request whose engine has left gets a slot at another one; the old slot is given back, and the KV cache goes along, so nothing is prefilled twice and no retry is counted.

--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -251,7 +251,7 @@
     crash::refuse_culprit(router, call)?;
     let queued = Instant::now();
     let requeued = state.placements > 0 || after.is_some();
-    let slot = slot::acquire(router, call, requeued, after, &choice).await?;
+    let mut slot = slot::acquire(router, call, requeued, after, &choice).await?;
     router.metrics.record_wait(&call.service.name, call.customer_name(), queued.elapsed());
     call::reauthorize(router, call)?;
     log::info!(
@@ -265,14 +265,48 @@
         call.parts_text(),
     );
     state.placements += 1;
-    state.same_engine = choice.first.is_some_and(|first| first == slot.engine.id);
+    state.same_engine = choice.first.as_ref() == Some(&slot.engine.id);
     state.last_engine = Some(slot.engine.id.clone());
     let cache =
         if state.same_engine { None } else { prefill::prefill(router, call, state).await? };
     crash::refuse_culprit(router, call)?;
+    while !router.is_usable_engine(&slot.engine) {
+        slot = replace_slot(router, call, state, after, &choice, slot).await?;
+    }
     Ok(Prepared { slot, cache, permit })
 }
 
+/// Moves a request to another engine, since the one that it had a slot at has left while the
+/// prompt was prefilled. The KV cache of the prompt stays usable.
+async fn replace_slot(
+    router: &Arc<Router>,
+    call: &Arc<Call>,
+    state: &mut RetryState,
+    after: Option<&Position>,
+    choice: &EngineChoice,
+    old: SlotGuard,
+) -> Result<SlotGuard, FailedAttempt> {
+    let left = old.engine.id.clone();
+    drop(old);
+    if state.placements >= MAX_PLACEMENTS {
+        let refusal = Refusal::not_run(Cause::Busy).with_retry_after(jitter(FAILED_RETRY_AFTER));
+        return Err(refusal.into());
+    }
+    let choice = EngineChoice { first: None, excluded: choice.excluded.clone() };
+    let slot = slot::acquire(router, call, true, after, &choice).await?;
+    log::info!(
+        "call: moved attempt={} engine={} from={left} hold={} ticket={}",
+        call.meta.attempt,
+        slot.engine.id,
+        slot.reservation.as_deref().unwrap_or("-"),
+        slot.ticket,
+    );
+    state.placements += 1;
+    state.same_engine = false;
+    state.last_engine = Some(slot.engine.id.clone());
+    Ok(slot)
+}
+
 fn build_request(
     router: &Router,
     call: &Call,
