Soak: planned stops, with clients that keep their connections

Change: clients that send one request after another on a connection for as long as it is kept, and hosts that are stopped beside changes, SIGHUP and cut watches while servers pause. A late request that was passed on and cut is a violation.

--- a/crates/rosemarypitch/tests/soak/clients.rs
+++ b/crates/rosemarypitch/tests/soak/clients.rs
@@ -115,3 +115,68 @@
         task.await.unwrap();
     }
 }
+
+/// A request on a kept connection that a client has sent in full.
+#[derive(Clone, Debug)]
+pub struct KeptCall {
+    pub attempt: String,
+    pub host: SocketAddr,
+    pub sent: Instant,
+    /// Whether it got a complete answer.
+    pub complete: bool,
+}
+
+/// Sends requests one after another for `time`, on one connection for as long as the host keeps
+/// it open.
+pub async fn keep_connections(
+    hosts: Vec<SocketAddr>,
+    seed: u64,
+    prefix: String,
+    time: Duration,
+) -> Vec<KeptCall> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let (mut calls, mut connection) = (Vec::new(), None);
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        let host = hosts[random.random_range(0..hosts.len())];
+        let (host, mut stream) = match connection.take() {
+            Some(kept) => kept,
+            None => match TcpStream::connect(host).await {
+                Ok(stream) => (host, stream),
+                Err(_) => {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+            },
+        };
+        let paths = ["/book/", "/draft/", "/tale/", "/tale/", "/feed/"];
+        let attempt = format!("{prefix}{:x}", calls.len());
+        let text = request("POST", paths[random.random_range(0..paths.len())], "key")
+            .replace("connection: close\r\n", "")
+            .replace("attempt-id: a1", &format!("attempt-id: {attempt}"))
+            .replace("token-count: 5,5", "token-count: 100,100");
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            continue;
+        }
+        let sent = Instant::now();
+        let response = tokio::time::timeout(RESPONSE_TIMEOUT, read_kept(&mut stream)).await;
+        let response = response.ok().flatten();
+        if response.as_ref().is_some_and(|text| !text.contains("connection: close\r\n")) {
+            connection = Some((host, stream));
+        }
+        calls.push(KeptCall { attempt, host, sent, complete: response.is_some() });
+    }
+    calls
+}
+
+/// Reads one response; none if the connection ends before it is complete.
+async fn read_kept(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes);
+        if text.contains("\r\n\r\n") && looks_complete(&text) {
+            return Some(text.into_owned());
+        }
+        stream.read_buf(&mut bytes).await.ok().filter(|count| *count > 0)?;
+    }
+}
--- a/crates/rosemarypitch/tests/soak/main.rs
+++ b/crates/rosemarypitch/tests/soak/main.rs
@@ -8,6 +8,8 @@
 //! new configurations. Servers change how they respond. Clients and servers record all
 //! requests. The clock is not disturbed, because routers use the time of day only in logs.
 //!
+//! [`stops`] has planned work only, and clients that keep their connections.
+//!
 //! A normal test run covers a few seeds. `SOAK_SEEDS=50 SOAK_FROM=100 SOAK_HOSTS=5 cargo test
 //! --release -p rosemarypitch --test soak` runs more seeds and hosts.
 
@@ -20,6 +22,7 @@
 #[path = "../../../../platform/tests/standin/mod.rs"]
 #[allow(dead_code)]
 mod standin;
+mod stops;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -279,10 +282,18 @@
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok().and_then(|text| text.parse().ok())
+}
+
+/// First seed and number of seeds.
+fn seeds() -> (u64, u64) {
+    (number("SOAK_FROM").unwrap_or(1), number("SOAK_SEEDS").unwrap_or(SEEDS))
+}
+
 #[test]
 fn invariants_hold_under_faults() {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
-    let (from, count) = (number("SOAK_FROM").unwrap_or(1), number("SOAK_SEEDS").unwrap_or(SEEDS));
+    let (from, count) = seeds();
     let hosts = number("SOAK_HOSTS").map_or(HOSTS, |hosts| hosts as usize);
     let runtime = tokio::runtime::Runtime::new().unwrap();
     for seed in FAILED_SEEDS.into_iter().chain(from..from + count) {
