Evacuation: send nothing to data centres out of service

Cause: nothing read op/evacuate/ZONE. A slot or KV cache there is given up before the request is sent, and no release is sent. With all engines of a service out, requests are refused at once.

--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -113,6 +113,9 @@
         let (upstreams, rest): (Vec<Update>, Vec<Update>) =
             entries.updates.into_iter().partition(|update| matches!(update, Update::Upstream(_)));
         let upstreams = upstreams.into_iter().filter_map(into_upstream).collect();
+        let (evacuated, rest): (Vec<Update>, Vec<Update>) =
+            rest.into_iter().partition(|update| matches!(update, Update::Evacuated(_)));
+        let evacuated = evacuated.into_iter().filter_map(evacuated_zone);
         let hosts: Vec<Arc<str>> = rest.iter().filter_map(host_name).collect();
         for update in rest {
             self.apply(now, update);
@@ -126,7 +129,10 @@
         // A peer may have relayed a later revision during a slow read.
         self.revision = entries.revision.max(self.router.store_position().revision);
         if self.revision == entries.revision {
-            self.router.update_registry(now, |registry| registry.replace(now, upstreams, outage));
+            self.router.update_registry(now, |registry| {
+                registry.replace(now, upstreams, outage);
+                registry.evacuations.replace(now, evacuated)
+            });
         }
         self.router.mark_current(now);
         self.router.set_revision(self.revision);
@@ -241,9 +247,16 @@
     fn apply_batch(&mut self, now: Instant, updates: Vec<Update>, age: Duration) {
         let changed = !updates.is_empty() || self.router.registry_expiry().is_some();
         self.router.mark_current(now.checked_sub(age).unwrap_or(now));
-        let (upstreams, rest): (Vec<Update>, Vec<Update>) = updates
-            .into_iter()
-            .partition(|update| matches!(update, Update::Upstream(_) | Update::UpstreamRemoved(_)));
+        let (upstreams, rest): (Vec<Update>, Vec<Update>) =
+            updates.into_iter().partition(|update| {
+                matches!(
+                    update,
+                    Update::Upstream(_)
+                        | Update::UpstreamRemoved(_)
+                        | Update::Evacuated(_)
+                        | Update::EvacuationEnded(_)
+                )
+            });
         for update in rest {
             self.apply(now, update);
         }
@@ -266,7 +279,10 @@
                     log::info!("control: configuration in force version={version} hosts={routes}");
                 }
             }
-            Update::Upstream(_) | Update::UpstreamRemoved(_) => {
+            Update::Upstream(_)
+            | Update::UpstreamRemoved(_)
+            | Update::Evacuated(_)
+            | Update::EvacuationEnded(_) => {
                 self.router.update_registry(now, |registry| apply_upstream(now, registry, update));
             }
             Update::Host(host, entry) => self.gossip.put_host(host, &entry),
@@ -314,7 +330,7 @@
     }
 }
 
-/// Applies an update of an upstream to the registry; ignores all others.
+/// Applies an update of an upstream or an evacuation to the registry; ignores all others.
 fn apply_upstream(now: Instant, registry: &mut UpstreamRegistry, update: Update) {
     match update {
         Update::Upstream(upstream) => {
@@ -332,6 +348,12 @@
             log::info!("control: upstream entry deleted upstream={id}");
             registry.remove(now, &id);
         }
+        Update::Evacuated(zone) => {
+            registry.evacuations.begin(zone);
+        }
+        Update::EvacuationEnded(zone) => {
+            registry.evacuations.end(now, &zone);
+        }
         Update::Config(_) | Update::Host(..) | Update::HostRemoved(_) | Update::Secret(_) => {}
     }
 }
@@ -343,6 +365,13 @@
     }
 }
 
+fn evacuated_zone(update: Update) -> Option<Arc<str>> {
+    match update {
+        Update::Evacuated(zone) => Some(zone),
+        _ => None,
+    }
+}
+
 fn host_name(update: &Update) -> Option<Arc<str>> {
     match update {
         Update::Host(host, _) => Some(host.clone()),
--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -232,6 +232,10 @@
     HostRemoved(Arc<str>),
     /// The secret shared by all hosts was set.
     Secret(Arc<str>),
+    /// Operators took this data centre out of service.
+    Evacuated(Arc<str>),
+    /// Operators returned this data centre to service.
+    EvacuationEnded(Arc<str>),
 }
 
 /// Updates up to and including a revision of the store.
--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -273,6 +273,8 @@
     while !router.is_usable_engine(&slot.engine) {
         slot = replace_slot(router, call, state, after, &choice, slot).await?;
     }
+    // A decode engine would fetch the cache from a data centre to which nothing is sent any more.
+    let cache = cache.filter(|cache| !router.is_evacuated(&cache.engine.zone));
     Ok(Prepared { slot, cache, permit })
 }
 
@@ -325,7 +327,13 @@
 }
 
 /// Sends a control request in the background; a failure is only logged.
+///
+/// An engine in a data centre out of service gets none: what it holds expires by itself.
 fn send_detached(router: &Arc<Router>, engine: &Upstream, command: &EngineCommand<'_>) {
+    if router.is_evacuated(&engine.zone) {
+        log::debug!("call: not released at {}: {} is out of service", engine.id, engine.zone);
+        return;
+    }
     let request = router.dialect.engine_command(&engine.id, command);
     let (address, router) = (engine.address, router.clone());
     let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -28,7 +28,8 @@
 /// KV cache of a prefilled prompt; freed on drop unless it was handed to a decode engine.
 pub struct KvCache {
     router: Arc<Router>,
-    engine: Arc<Upstream>,
+    /// Engine that holds the cache.
+    pub engine: Arc<Upstream>,
     /// Location of the cache.
     pub source: KvSource,
     /// Whether a decode engine has been instructed to fetch it.
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -6,7 +6,8 @@
 //! Decisions are made by pure state machines that take the current instant as an argument:
 //! [`pool`] queues, refuses and places model requests, [`balance`] selects servers of plain
 //! services, [`quota`] and [`budget`] enforce limits over all hosts, [`registry`] lists the
-//! upstreams, and [`health`] rates them by the outcomes of their requests.
+//! upstreams, [`evacuation`] the data centres out of service, and [`health`] rates upstreams by
+//! the outcomes of their requests.
 //!
 //! [`peer_table`], [`remote_rows`], [`layout`] and [`counters`] hold the state that hosts
 //! exchange, [`crash_exchange`] selects the crash records that they send each other,
@@ -27,6 +28,7 @@
 pub mod counters;
 pub mod crash_exchange;
 pub mod deployment;
+pub mod evacuation;
 pub mod events;
 pub mod generate;
 pub mod gossip;
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -130,6 +130,8 @@
     remote_engines: Vec<Arc<str>>,
     /// When this host stops; none while it runs.
     end: Option<Instant>,
+    /// Whether all engines are in data centres that are out of service.
+    out_of_service: bool,
 }
 
 /// Streams by engine.
@@ -156,6 +158,7 @@
             row_engines: Vec::new(),
             remote_engines: Vec::new(),
             end: None,
+            out_of_service: false,
         }
     }
 
@@ -197,6 +200,11 @@
         self.end = end;
     }
 
+    /// Sets whether all engines are in data centres that are out of service.
+    pub fn set_out_of_service(&mut self, out_of_service: bool) {
+        self.out_of_service = out_of_service;
+    }
+
     /// Sets the engines that are assigned to this host's row.
     pub fn set_preferred(&mut self, preferred: Option<HashSet<Arc<str>>>) {
         self.preferred = preferred;
@@ -296,6 +304,9 @@
         if !self.is_waiting() {
             return decisions;
         }
+        if self.out_of_service {
+            return self.refuse_all();
+        }
         self.demote(now);
         self.refuse_unfinished(now, &mut decisions);
         self.place(now, &mut decisions);
@@ -303,6 +314,12 @@
         decisions
     }
 
+    /// Refuses all queued requests, which no engine will serve soon.
+    fn refuse_all(&mut self) -> Vec<Decision> {
+        let queued = self.timely.drain(..).chain(self.late.drain(..));
+        queued.map(|request| Decision::Refuse(request.ticket, Duration::ZERO)).collect()
+    }
+
     /// Moves requests whose first event can no longer be on time to the late queue.
     fn demote(&mut self, now: Instant) {
         let speed = self.prefill_speed;
--- a/crates/rosemarypitch-forward/src/registry.rs
+++ b/crates/rosemarypitch-forward/src/registry.rs
@@ -7,6 +7,8 @@
 //! An upstream that leaves may also say so in its responses, or a neighbour may have got such a
 //! response. It then gets no new requests, whatever the store or a copy of its state says of this
 //! run of it; only a later run is used again.
+//!
+//! Upstreams in a data centre that operators have taken out of service get none either.
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -16,6 +18,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::evacuation::Evacuations;
+
 /// Time in which live upstreams register again after an outage of the store. The platform
 /// specifies about two seconds.
 pub const REREGISTER_TIME: Duration = Duration::from_millis(2_300);
@@ -79,6 +83,8 @@
     keep_until: Option<Instant>,
     /// Upstreams that have announced that they leave.
     leaving: HashMap<Arc<str>, Leaving>,
+    /// Data centres whose upstreams get no requests.
+    pub evacuations: Evacuations,
 }
 
 #[derive(Debug)]
@@ -183,9 +189,17 @@
         self.entries.values().map(|entry| &entry.upstream)
     }
 
+    /// Upstreams in data centres that are out of service.
+    pub fn evacuated(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.all().filter(|upstream| self.evacuations.contains(&upstream.zone))
+    }
+
     /// Upstreams that accept new requests.
     pub fn usable(&self) -> impl Iterator<Item = &Arc<Upstream>> {
-        self.all()
-            .filter(|upstream| upstream.state == UpstreamState::Ready && !self.is_leaving(upstream))
+        self.all().filter(|upstream| {
+            upstream.state == UpstreamState::Ready
+                && !self.is_leaving(upstream)
+                && !self.evacuations.contains(&upstream.zone)
+        })
     }
 }
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -298,8 +298,9 @@
             return None;
         }
         let upstreams = registry.all().map(|upstream| upstream.as_ref().clone()).collect();
+        let evacuated = registry.evacuations.zones().cloned().collect();
         drop(registry);
-        let snapshot = Snapshot { revision: position.revision, config, upstreams };
+        let snapshot = Snapshot { revision: position.revision, config, upstreams, evacuated };
         // Also sent if nothing is newer: it confirms to the peer that its state is current.
         (snapshot.revision >= have.revision).then_some(snapshot)
     }
@@ -320,7 +321,10 @@
             if let Some(config) = snapshot.config {
                 self.set_config(config);
             }
-            self.update_registry(now, |registry| registry.replace(now, snapshot.upstreams, false));
+            self.update_registry(now, |registry| {
+                registry.replace(now, snapshot.upstreams, false);
+                registry.evacuations.replace(now, snapshot.evacuated)
+            });
             self.set_revision(snapshot.revision);
         }
         self.mark_current(now);
@@ -461,12 +465,22 @@
         lock(&self.registry).next_expiry()
     }
 
+    /// Whether operators have taken a data centre out of service.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        lock(&self.registry).evacuations.contains(zone)
+    }
+
     fn apply_upstreams(&self, now: Instant) {
         let Some(config) = self.config() else { return };
         let mut lists: HashMap<Arc<str>, Vec<Arc<Upstream>>> = HashMap::new();
-        for upstream in lock(&self.registry).usable() {
+        let registry = lock(&self.registry);
+        self.metrics.set_gauge("zones_out_of_service", registry.evacuations.zones().len() as u64);
+        for upstream in registry.usable() {
             lists.entry(upstream.service.clone()).or_default().push(upstream.clone());
         }
+        let evacuated: HashSet<Arc<str>> =
+            registry.evacuated().map(|upstream| upstream.service.clone()).collect();
+        drop(registry);
         let hosts = self.share().hosts;
         for (name, service) in &config.services {
             let list = lists.remove(name).unwrap_or_default();
@@ -476,6 +490,7 @@
                     let create = || Pool::new(size, self.settings.zone.clone(), self.settings.pool);
                     let pool = pools.pools.entry(name.clone()).or_insert_with(create);
                     pool.set_engines(&list, size, hosts);
+                    pool.set_out_of_service(list.is_empty() && evacuated.contains(name));
                     // A service may be added while the host stops.
                     pool.set_end(self.stop_times().map(|times| times.exit));
                     pool.set_preferred(preferred_engines(&lock(&self.layout), &list));
--- a/crates/rosemarypitch-forward/src/snapshot.rs
+++ b/crates/rosemarypitch-forward/src/snapshot.rs
@@ -11,7 +11,7 @@
 use crate::config::ConfigSnapshot;
 use crate::registry::Upstream;
 
-/// A host's copy of the store's configuration and upstreams.
+/// A host's copy of the store's configuration, upstreams and evacuations.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Revision of the store that the copy reflects.
@@ -21,6 +21,8 @@
     pub config: Option<Arc<ConfigSnapshot>>,
     /// All registered upstreams.
     pub upstreams: Vec<Upstream>,
+    /// Data centres that are out of service.
+    pub evacuated: Vec<Arc<str>>,
 }
 
 /// Versions of the state that a host already has.
--- a/crates/rosemarypitch-forward/tests/snapshot.rs
+++ b/crates/rosemarypitch-forward/tests/snapshot.rs
@@ -26,7 +26,9 @@
 }
 
 fn snapshot(revision: u64, version: Option<u64>) -> Snapshot {
-    Snapshot { revision, config: version.map(config), upstreams: vec![support::upstream("i-1")] }
+    let upstreams = vec![support::upstream("i-1")];
+    let evacuated = vec![Arc::from("behala")];
+    Snapshot { revision, config: version.map(config), upstreams, evacuated }
 }
 
 #[test]
