Cold upstreams and home regions

Change: each host owns an equal part of the rate that a cold server bears, by the list of all hosts, and chooses another server once it has sent its part; a placed request is counted when it is sent. Homes become a set of regions that pools and balancers keep to.

--- a/crates/rosemarypitch-forward/src/balance.rs
+++ b/crates/rosemarypitch-forward/src/balance.rs
@@ -10,6 +10,7 @@
 
 use tokio::time::Instant;
 
+use crate::cold::{ColdGate, ColdLimit};
 use crate::config::RouteKind;
 use crate::deployment::Load;
 use crate::health::{Health, Outcome};
@@ -43,6 +44,7 @@
     /// Latest load report, when it came, and the requests in flight then.
     report: Option<(Instant, Load, u32)>,
     health: Health,
+    gate: ColdGate,
 }
 
 impl Balancer {
@@ -61,14 +63,22 @@
                     in_flight: 0,
                     report: None,
                     health: Health::default(),
+                    gate: ColdGate::default(),
                 },
             };
             self.servers.insert(upstream.id.clone(), server);
         }
     }
 
-    /// Chooses the server with the lowest cost that is not in `tried`, and counts a request
-    /// in flight there.
+    /// Sets the bounds on requests to cold servers, by server.
+    pub fn set_cold_limits(&mut self, limit: impl Fn(&Upstream) -> Option<ColdLimit>) {
+        for server in self.servers.values_mut() {
+            server.gate.set(limit(&server.upstream));
+        }
+    }
+
+    /// Chooses the server with the lowest cost that is allowed and not in `tried`, and counts a
+    /// request in flight there. A cold server that has had what it bears is not chosen.
     ///
     /// `draw` returns a random number from 0 to 1, which breaks ties.
     pub fn choose(
@@ -76,13 +86,18 @@
         now: Instant,
         zone: &str,
         tried: &[Arc<str>],
+        allowed: impl Fn(&Upstream) -> bool,
         mut draw: impl FnMut() -> f64,
     ) -> Option<Arc<Upstream>> {
-        let untried =
-            self.servers.values_mut().filter(|server| !tried.contains(&server.upstream.id));
+        let untried = self.servers.values_mut().filter(|server| {
+            !tried.contains(&server.upstream.id)
+                && allowed(&server.upstream)
+                && server.gate.admits(now, 0)
+        });
         let costs = untried.map(|server| (server.cost(now, zone) + draw() * 0.05, server));
         let (_, server) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
         server.in_flight += 1;
+        server.gate.record(now);
         Some(server.upstream.clone())
     }
 
--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -22,6 +22,7 @@
 use crate::config::{CallerBounds, ConfigSnapshot, Customer, Route, Service};
 use crate::deployment::{RequestMeta, Tokens};
 use crate::generate;
+use crate::homes::RegionSet;
 use crate::plain;
 use crate::refusal::{Cause, Ran, Refusal};
 use crate::relay::{self, ResponseBody};
@@ -44,6 +45,8 @@
     pub service: Arc<Service>,
     /// Customer that owns the API key; none on public routes and without configured customers.
     pub customer: Option<Arc<Customer>>,
+    /// Regions in which the request may be served.
+    pub regions: RegionSet,
     /// Time of arrival.
     pub start: Instant,
     /// Time by which the caller must have its complete response.
@@ -253,8 +256,10 @@
     let service = choose_service(&config, &route).ok_or_else(not_configured)?;
     let timeout = meta.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = start + timeout;
+    let customer_homes = customer.as_ref().map_or(&[][..], |customer| &customer.homes);
+    let regions = router.settings.regions.allowed(&route.homes, customer_homes);
     let may_have_run = AtomicBool::new(false);
-    Ok(Call { head, body, meta, route, service, customer, start, deadline, may_have_run })
+    Ok(Call { head, body, meta, route, service, customer, regions, start, deadline, may_have_run })
 }
 
 /// Authorizes a request again after it has waited in a queue.
--- a/crates/rosemarypitch-forward/src/config.rs
+++ b/crates/rosemarypitch-forward/src/config.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cold::ColdRules;
+
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ConfigSnapshot {
@@ -60,6 +62,8 @@
     pub max_attempts: u32,
     /// Whether callers need no API key.
     pub public: bool,
+    /// Regions in which requests may be served; empty if in all.
+    pub homes: Vec<Arc<str>>,
 }
 
 /// Which requests of a route may be retried.
@@ -96,6 +100,8 @@
     pub name: Arc<str>,
     /// Size of its engines; none for a plain service.
     pub engine: Option<EngineSize>,
+    /// What its upstreams bear while they are cold; none if as much as later.
+    pub cold: Option<ColdRules>,
 }
 
 /// Capacity of an engine.
@@ -121,6 +127,8 @@
     pub limit: Option<RateLimit>,
     /// Tokens charged for a request without token counts.
     pub flat_tokens: u64,
+    /// Regions in which its requests may be served; empty if in all.
+    pub homes: Vec<Arc<str>>,
 }
 
 /// Token rate and burst size.
--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -335,14 +335,15 @@
     match update {
         Update::Upstream(upstream) => {
             log::info!(
-                "control: upstream id={} service={} state={:?} stage={:?} born={}",
+                "control: upstream id={} service={} state={:?} stage={:?} born={} cold_ms={}",
                 upstream.id,
                 upstream.service,
                 upstream.state,
                 upstream.stage,
                 upstream.incarnation,
+                upstream.cold.as_millis(),
             );
-            registry.put(upstream);
+            registry.put(now, upstream);
         }
         Update::UpstreamRemoved(id) => {
             log::info!("control: upstream entry deleted upstream={id}");
--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -126,6 +126,8 @@
     pub load: Option<Load>,
     /// Whether the upstream reports that it leaves.
     pub leaving: bool,
+    /// Time for which the upstream reports that it is still cold.
+    pub cold: Option<Duration>,
     /// Whether the body has a content encoding; upstreams never apply one.
     pub encoded: bool,
 }
--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -270,7 +270,7 @@
     let cache =
         if state.same_engine { None } else { prefill::prefill(router, call, state).await? };
     crash::refuse_culprit(router, call)?;
-    while !router.is_usable_engine(&slot.engine) {
+    while !router.start_decode(&slot.engine, slot.ticket) {
         slot = replace_slot(router, call, state, after, &choice, slot).await?;
     }
     // A decode engine would fetch the cache from a data centre to which nothing is sent any more.
--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -71,7 +71,9 @@
         let Ok(permit) = permit else { return Ok(None) };
         let mut unspent = Some(permit);
         let chosen = router
-            .with_pool(&call.service.name, |pool| pool.start_prefill(now, prompt, &tried))
+            .with_pool(&call.service.name, |pool| {
+                pool.start_prefill(now, prompt, call.regions, &tried)
+            })
             .flatten();
         let Some(engine) = chosen else { return Ok(None) };
         tried.push(engine.id.clone());
--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -164,6 +164,7 @@
         estimate,
         required: stop::required_output(router.phase(), tokens, estimate),
         retried: age > call.route.target,
+        regions: call.regions,
         due: call.start + call.route.target.saturating_sub(age),
         expires: (call.start + wait).min(call.deadline),
         requeued,
--- a/crates/rosemarypitch-forward/src/layout.rs
+++ b/crates/rosemarypitch-forward/src/layout.rs
@@ -117,6 +117,11 @@
         self.rows.get(&self.own).map_or(1, Vec::len)
     }
 
+    /// All hosts, this one included.
+    pub fn hosts(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.row_of.keys()
+    }
+
     /// The row of a host.
     pub fn row_of(&self, host: &str) -> Option<&RowId> {
         self.row_of.get(host)
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -6,8 +6,9 @@
 //! Decisions are made by pure state machines that take the current instant as an argument:
 //! [`pool`] queues, refuses and places model requests, [`balance`] selects servers of plain
 //! services, [`quota`] and [`budget`] enforce limits over all hosts, [`registry`] lists the
-//! upstreams, [`evacuation`] the data centres out of service, and [`health`] rates upstreams by
-//! the outcomes of their requests.
+//! upstreams, [`evacuation`] the data centres out of service, [`cold`] bounds what upstreams get
+//! after their start, [`homes`] says in which regions a request may be served, and [`health`]
+//! rates upstreams by the outcomes of their requests.
 //!
 //! [`peer_table`], [`remote_rows`], [`layout`] and [`counters`] hold the state that hosts
 //! exchange, [`crash_exchange`] selects the crash records that they send each other,
@@ -22,6 +23,7 @@
 pub mod budget;
 pub mod call;
 pub mod client;
+pub mod cold;
 pub mod config;
 pub mod connection;
 pub mod control;
@@ -33,6 +35,7 @@
 pub mod generate;
 pub mod gossip;
 pub mod health;
+pub mod homes;
 pub mod layout;
 pub mod memory;
 pub mod metrics;
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -19,6 +19,7 @@
 use crate::deployment::{ResponseMeta, ResumeFrom, SendParams, ServingStage};
 use crate::events::Position;
 use crate::refusal::{Cause, Ran, Refusal};
+use crate::registry::Upstream;
 use crate::relay::{
     self, OpenStream, PrepareFuture, ResponseBody, ResumePolicy, SegmentFuture, Stream, StreamError,
 };
@@ -309,7 +310,8 @@
     let now = Instant::now();
     let zone = &router.settings.zone;
     let chosen = router.with_balancer(&call.service.name, |balancer| {
-        balancer.choose(now, zone, tried, || rand::random_range(0.0..1.0))
+        let allowed = |server: &Upstream| router.is_home(server, call.regions);
+        balancer.choose(now, zone, tried, allowed, || rand::random_range(0.0..1.0))
     });
     Some(InFlight::new(router, call, chosen.flatten()?))
 }
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -23,9 +23,11 @@
 
 use tokio::time::Instant;
 
+use crate::cold::{ColdGate, ColdLimit};
 use crate::config::EngineSize;
 use crate::deployment::Tokens;
 use crate::health::{Health, Outcome};
+use crate::homes::{RegionSet, Regions};
 use crate::memory::StreamUse;
 use crate::registry::{Stage, Upstream};
 use crate::tuning::PoolTuning;
@@ -68,6 +70,8 @@
     pub cost: f64,
     /// Whether this is a retry after a refusal.
     pub retried: bool,
+    /// Regions in which it may be served.
+    pub regions: RegionSet,
     /// Target for the first event to reach the caller.
     pub due: Instant,
     /// When the caller times out without a first event.
@@ -104,6 +108,7 @@
 pub struct Pool {
     size: EngineSize,
     zone: Arc<str>,
+    regions: Regions,
     tuning: PoolTuning,
     engines: HashMap<Arc<str>, Engine>,
     /// Requests whose first event can still be on time, cheapest first.
@@ -143,6 +148,7 @@
         Self {
             size,
             zone,
+            regions: Regions::default(),
             tuning,
             engines: HashMap::new(),
             timely: Vec::new(),
@@ -162,6 +168,11 @@
         }
     }
 
+    /// Sets the regions of data centres; without them only requests without homes are served.
+    pub fn with_regions(self, regions: Regions) -> Self {
+        Self { regions, ..self }
+    }
+
     /// Sets the usable engines, their size and the number of hosts that share them.
     ///
     /// An engine that is still the same process keeps its streams and health.
@@ -182,18 +193,44 @@
                     prefill_tokens: 0,
                     full_until: None,
                     health: Health::default(),
+                    region: self.regions.of_zone(&upstream.zone),
+                    gate: ColdGate::default(),
                 },
             };
             self.engines.insert(upstream.id.clone(), engine);
         }
     }
 
+    /// Sets the bounds on requests to cold engines, by engine.
+    pub fn set_cold_limits(&mut self, limit: impl Fn(&Upstream) -> Option<ColdLimit>) {
+        for engine in self.engines.values_mut() {
+            engine.gate.set(limit(&engine.upstream));
+        }
+    }
+
     /// Whether a run of an engine is among the usable ones.
     pub fn is_usable(&self, engine: &Upstream) -> bool {
         let known = self.engines.get(&engine.id);
         known.is_some_and(|known| known.upstream.incarnation == engine.incarnation)
     }
 
+    /// Records that a placed request is sent to its engine now; false if it must not be, because
+    /// the engine has left or has become cold and got what it bears.
+    pub fn start_decode(&mut self, now: Instant, engine: &Upstream, ticket: Ticket) -> bool {
+        if !self.is_usable(engine) {
+            return false;
+        }
+        let Some(engine) = self.engines.get_mut(&engine.id) else { return false };
+        if !engine.gate.admits(now, 0) {
+            return false;
+        }
+        engine.gate.record(now);
+        if let Some(running) = engine.running.get_mut(&ticket) {
+            running.sent = true;
+        }
+        true
+    }
+
     /// Sets when this host stops, if it does; requests that it could not finish by then are
     /// refused.
     pub fn set_end(&mut self, end: Option<Instant>) {
@@ -472,7 +509,8 @@
     ) -> Option<(f64, &'a Arc<str>)> {
         let memory = self.usable_memory() as u64;
         let costs = engines.filter_map(|(id, engine)| {
-            if !engine.is_open(now) || engine.occupied_slots() >= self.size.slots as usize {
+            let full = engine.occupied_slots() >= self.size.slots as usize;
+            if !engine.is_open(now) || full || !engine.admits(now, request.regions) {
                 return None;
             }
             let peak = engine.peak(request);
@@ -505,11 +543,13 @@
         &mut self,
         now: Instant,
         prompt: u64,
+        regions: RegionSet,
         tried: &[Arc<str>],
     ) -> Option<Arc<Upstream>> {
         let engines = self.engines.iter().filter(|(id, engine)| {
             engine.upstream.stage == Some(Stage::Prefill)
                 && !engine.health.is_avoided(now)
+                && engine.admits(now, regions)
                 && !tried.contains(id)
         });
         let costs = engines.map(|(id, engine)| {
@@ -521,6 +561,7 @@
         let (_, id) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
         let engine = self.engines.get_mut(&id)?;
         engine.prefill_tokens += prompt;
+        engine.gate.record(now);
         Some(engine.upstream.clone())
     }
 
--- a/crates/rosemarypitch-forward/src/pool/engine.rs
+++ b/crates/rosemarypitch-forward/src/pool/engine.rs
@@ -7,7 +7,9 @@
 
 use super::pace::Progress;
 use super::{SlotRequest, Ticket};
+use crate::cold::ColdGate;
 use crate::health::Health;
+use crate::homes::RegionSet;
 use crate::memory::{self, StreamUse};
 use crate::registry::{Stage, Upstream};
 
@@ -28,6 +30,10 @@
     pub full_until: Option<Instant>,
     /// Recent outcomes of this host's requests.
     pub health: Health,
+    /// Region of its data centre.
+    pub region: RegionSet,
+    /// Bound on this host's requests while it is cold.
+    pub gate: ColdGate,
 }
 
 /// A decode request of this host that occupies a slot.
@@ -39,13 +45,15 @@
     pub progress: Progress,
     /// Expected output tokens in total.
     pub expected: u64,
+    /// Whether it has been sent to the engine.
+    pub sent: bool,
 }
 
 impl Running {
     /// A request that has been assigned a slot.
     pub fn new(request: &SlotRequest) -> Self {
         let progress = Progress::default();
-        Self { prompt: request.prompt, progress, expected: request.output }
+        Self { prompt: request.prompt, progress, expected: request.output, sent: false }
     }
 
     /// Current and expected memory of the stream.
@@ -67,6 +75,15 @@
             && self.full_until.is_none_or(|end| end <= now)
     }
 
+    /// Whether a request of callers with these homes may be chosen for the engine now.
+    pub fn admits(&self, now: Instant, regions: RegionSet) -> bool {
+        if !regions.allows(self.region) || !self.gate.is_cold(now) {
+            return regions.allows(self.region);
+        }
+        let pending = self.running.values().filter(|running| !running.sent).count();
+        self.gate.admits(now, pending)
+    }
+
     /// Slots occupied by all hosts.
     pub fn occupied_slots(&self) -> usize {
         self.running.len() + self.row_streams.len() + self.remote_streams.len()
--- a/crates/rosemarypitch-forward/src/registry.rs
+++ b/crates/rosemarypitch-forward/src/registry.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::cold::ColdUpstreams;
 use crate::evacuation::Evacuations;
 
 /// Time in which live upstreams register again after an outage of the store. The platform
@@ -48,6 +49,8 @@
     pub state: UpstreamState,
     /// Phase of inference that it serves, if it is an engine.
     pub stage: Option<Stage>,
+    /// Time for which it was still cold when its entry was written.
+    pub cold: Duration,
 }
 
 /// Whether an upstream accepts new requests.
@@ -85,6 +88,8 @@
     leaving: HashMap<Arc<str>, Leaving>,
     /// Data centres whose upstreams get no requests.
     pub evacuations: Evacuations,
+    /// Upstreams that bear few requests for a time.
+    pub cold: ColdUpstreams,
 }
 
 #[derive(Debug)]
@@ -109,7 +114,7 @@
             entry.missing = true;
         }
         for upstream in list {
-            self.put(upstream);
+            self.put(now, upstream);
         }
         if outage {
             self.keep_missing(now);
@@ -123,7 +128,8 @@
     }
 
     /// Adds or updates an entry.
-    pub fn put(&mut self, upstream: Upstream) {
+    pub fn put(&mut self, now: Instant, upstream: Upstream) {
+        self.cold.record_entry(now, &upstream.id, upstream.incarnation, upstream.cold);
         self.leaving.retain(|id, leaving| {
             *id != upstream.id || upstream.incarnation <= leaving.incarnation
         });
@@ -171,7 +177,11 @@
         }
         self.keep_until = None;
         let removed = self.entries.extract_if(|_, entry| entry.missing);
-        removed.map(|(id, _)| id).collect()
+        let removed: Vec<Arc<str>> = removed.map(|(id, _)| id).collect();
+        if !removed.is_empty() {
+            self.cold.retain(|id| self.entries.contains_key(id));
+        }
+        removed
     }
 
     /// When [`Self::expire`] must be called next, if at all.
@@ -189,6 +199,15 @@
         self.entries.values().map(|entry| &entry.upstream)
     }
 
+    /// Until when an upstream is cold, if it bears few requests then; `time` is how long upstreams
+    /// of its service are. One whose data centre is in service again may be cold without having
+    /// said so yet.
+    pub fn cold_until(&self, upstream: &Upstream, time: Duration) -> Option<Instant> {
+        let known = self.cold.until(&upstream.id, upstream.incarnation);
+        let returned = self.evacuations.ended_at(&upstream.zone).map(|ended| ended + time);
+        known.max(returned)
+    }
+
     /// Upstreams in data centres that are out of service.
     pub fn evacuated(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.all().filter(|upstream| self.evacuations.contains(&upstream.zone))
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -18,14 +18,16 @@
 
 use crate::balance::Balancer;
 use crate::budget::{RepeatRules, RetryBudget};
+use crate::cold::{self, ColdLimit};
 use crate::config::ConfigSnapshot;
 use crate::control;
 use crate::crash_exchange;
 use crate::deployment::{Dialect, Directory, ResponseMeta, Update, Updates};
+use crate::homes::{RegionSet, Regions};
 use crate::layout::Layout;
 use crate::metrics::Metrics;
 use crate::open_calls::OpenCalls;
-use crate::pool::Pool;
+use crate::pool::{Pool, Ticket};
 use crate::quarantine::{CrashRecord, Quarantine};
 use crate::quota::{self, Quota, QuotaRules, Share};
 use crate::registry::{Upstream, UpstreamRegistry};
@@ -48,6 +50,8 @@
     pub host: Arc<str>,
     /// Its data centre.
     pub zone: Arc<str>,
+    /// Regions of the deployment's data centres.
+    pub regions: Regions,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address of the readiness probe of the load balancer.
@@ -423,12 +427,37 @@
         self.with_pool(&engine.service, |pool| pool.is_usable(engine)).unwrap_or(false)
     }
 
-    /// Stops to use an upstream if a response of it says that it leaves.
+    /// Records that a placed request is sent to its engine now; false if the engine must not get
+    /// it any more.
+    pub fn start_decode(&self, engine: &Upstream, ticket: Ticket) -> bool {
+        let now = Instant::now();
+        let start = |pool: &mut Pool| pool.start_decode(now, engine, ticket);
+        self.with_pool(&engine.service, start).unwrap_or(false)
+    }
+
+    /// Whether a request with these homes may go to an upstream.
+    pub fn is_home(&self, upstream: &Upstream, homes: RegionSet) -> bool {
+        homes.allows(self.settings.regions.of_zone(&upstream.zone))
+    }
+
+    /// Stops to use an upstream if a response of it says that it leaves, and sends few requests to
+    /// one that says that it is cold.
     ///
     /// A response for another upstream's identifier comes from a later user of the address.
     pub fn observe_response(&self, upstream: &Upstream, status: StatusCode, meta: &ResponseMeta) {
-        if meta.leaving && status != StatusCode::MISDIRECTED_REQUEST {
-            let (id, incarnation) = (&upstream.id, upstream.incarnation);
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let (id, incarnation) = (&upstream.id, upstream.incarnation);
+        if let Some(left) = meta.cold {
+            let now = Instant::now();
+            if lock(&self.registry).cold.record_response(now, id, incarnation, left) {
+                let left = left.as_millis();
+                log::info!("control: upstream cold upstream={id} cold_ms={left} source=response");
+                self.apply_upstreams(now);
+            }
+        }
+        if meta.leaving {
             if self.mark_leaving(Instant::now(), id, incarnation, "response") {
                 lock(&self.departures).push((id.clone(), incarnation));
                 self.departed.notify_one();
@@ -475,27 +504,54 @@
         let mut lists: HashMap<Arc<str>, Vec<Arc<Upstream>>> = HashMap::new();
         let registry = lock(&self.registry);
         self.metrics.set_gauge("zones_out_of_service", registry.evacuations.zones().len() as u64);
+        let mut cold: HashMap<Arc<str>, Instant> = HashMap::new();
         for upstream in registry.usable() {
+            let rules = config.services.get(&upstream.service).and_then(|service| service.cold);
+            let until = rules.and_then(|rules| registry.cold_until(upstream, rules.time));
+            if let Some(until) = until.filter(|until| *until > now) {
+                cold.insert(upstream.id.clone(), until);
+            }
             lists.entry(upstream.service.clone()).or_default().push(upstream.clone());
         }
         let evacuated: HashSet<Arc<str>> =
             registry.evacuated().map(|upstream| upstream.service.clone()).collect();
         drop(registry);
+        self.metrics.set_gauge("cold_upstreams", cold.len() as u64);
+        let layout = lock(&self.layout).clone();
         let hosts = self.share().hosts;
         for (name, service) in &config.services {
             let list = lists.remove(name).unwrap_or_default();
+            let cold_limit = |upstream: &Upstream| {
+                let units = service.cold?.units();
+                let until = cold.get(&upstream.id).copied();
+                // A host that does not know the others yet has no part.
+                let part = layout.as_ref().filter(|_| until.is_some()).map_or(0, |layout| {
+                    cold::part(&self.settings.host, layout.hosts(), &upstream.id, units)
+                });
+                Some(ColdLimit { until, part })
+            };
             match service.engine {
                 Some(size) => {
                     let mut pools = lock(&self.pools);
-                    let create = || Pool::new(size, self.settings.zone.clone(), self.settings.pool);
+                    let create = || {
+                        let zone = self.settings.zone.clone();
+                        Pool::new(size, zone, self.settings.pool)
+                            .with_regions(self.settings.regions.clone())
+                    };
                     let pool = pools.pools.entry(name.clone()).or_insert_with(create);
                     pool.set_engines(&list, size, hosts);
                     pool.set_out_of_service(list.is_empty() && evacuated.contains(name));
                     // A service may be added while the host stops.
                     pool.set_end(self.stop_times().map(|times| times.exit));
-                    pool.set_preferred(preferred_engines(&lock(&self.layout), &list));
+                    pool.set_preferred(preferred_engines(&layout, &list));
+                    pool.set_cold_limits(cold_limit);
+                }
+                None => {
+                    let mut balancers = lock(&self.balancers);
+                    let balancer = balancers.entry(name.clone()).or_default();
+                    balancer.set_servers(&list);
+                    balancer.set_cold_limits(cold_limit);
                 }
-                None => lock(&self.balancers).entry(name.clone()).or_default().set_servers(&list),
             }
         }
         self.dispatch(now);
--- a/crates/rosemarypitch-forward/src/router/placement.rs
+++ b/crates/rosemarypitch-forward/src/router/placement.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::{Router, lock};
+use crate::homes::RegionSet;
 use crate::pool::{Decision, DecodeEnd, Estimate, Pool, SlotRequest, Ticket};
 use crate::registry::Upstream;
 
@@ -140,6 +141,8 @@
     pub required: u64,
     /// Whether this is a retry after a refusal.
     pub retried: bool,
+    /// Regions in which it may be served.
+    pub regions: RegionSet,
     /// Target for the first event to reach the caller.
     pub due: Instant,
     /// When the caller times out without a first event.
@@ -150,9 +153,9 @@
 
 impl PlacementRequest {
     fn with_ticket(self, ticket: Ticket) -> SlotRequest {
-        let Self { prompt, estimate, required, retried, due, expires, requeued: _ } = self;
+        let Self { prompt, estimate, required, retried, regions, due, expires, requeued: _ } = self;
         let Estimate { output, cost } = estimate;
-        SlotRequest { ticket, prompt, output, required, cost, retried, due, expires }
+        SlotRequest { ticket, prompt, output, required, cost, retried, regions, due, expires }
     }
 }
 
--- a/crates/rosemarypitch-forward/tests/churn.rs
+++ b/crates/rosemarypitch-forward/tests/churn.rs
@@ -80,7 +80,12 @@
         let mut fleet = Self {
             start: Instant::now(),
             random: StdRng::seed_from_u64(seed),
-            customer: Customer { name: Arc::from("club"), limit: Some(LIMIT), flat_tokens: 200 },
+            customer: Customer {
+                name: Arc::from("club"),
+                limit: Some(LIMIT),
+                flat_tokens: 200,
+                homes: Vec::new(),
+            },
             hosts: Vec::new(),
             by_name: BTreeMap::new(),
             cut: None,
--- a/crates/rosemarypitch-forward/tests/fleet.rs
+++ b/crates/rosemarypitch-forward/tests/fleet.rs
@@ -68,7 +68,12 @@
             let quota = Quota::new(RULES, true);
             Host { name: name(number), quota, table, due: number as u64 * STEP_MS % 400 }
         });
-        let customer = Customer { name: Arc::from("club"), limit: Some(LIMIT), flat_tokens: 200 };
+        let customer = Customer {
+            name: Arc::from("club"),
+            limit: Some(LIMIT),
+            flat_tokens: 200,
+            homes: Vec::new(),
+        };
         let hosts = hosts.collect();
         let faulty = (0..faulty).map(|number| number * count / faulty.max(1)).collect();
         Self { start: Instant::now(), customer, hosts, faulty, fault }
--- a/crates/rosemarypitch-forward/tests/limits.rs
+++ b/crates/rosemarypitch-forward/tests/limits.rs
@@ -25,7 +25,7 @@
     RepeatRules { ratio: 0.2, allowance: 56.0, window: Duration::from_secs(10) };
 
 fn customer(limit: Option<RateLimit>) -> Customer {
-    Customer { name: Arc::from("club"), limit, flat_tokens: 200 }
+    Customer { name: Arc::from("club"), limit, flat_tokens: 200, homes: Vec::new() }
 }
 
 fn ms(millis: u64) -> Duration {
--- a/crates/rosemarypitch-forward/tests/pool.rs
+++ b/crates/rosemarypitch-forward/tests/pool.rs
@@ -11,6 +11,7 @@
 use rosemarypitch_forward::config::EngineSize;
 use rosemarypitch_forward::deployment::Tokens;
 use rosemarypitch_forward::health::Outcome;
+use rosemarypitch_forward::homes::RegionSet;
 use rosemarypitch_forward::memory::StreamUse;
 use rosemarypitch_forward::pool::{Decision, DecodeEnd, Pool, PrefillEnd, SlotRequest, Ticket};
 use rosemarypitch_forward::registry::{Stage, Upstream};
@@ -41,6 +42,7 @@
         required: 5_000,
         cost: 1.0,
         retried: false,
+        regions: RegionSet::ALL,
         due: now + TARGET,
         expires: now + TIMEOUT,
     }
@@ -180,23 +182,26 @@
 fn prompts_go_to_the_engine_with_the_smallest_backlog() {
     let now = Instant::now();
     let mut pool = pool(&[engine("p", Stage::Prefill), engine("q", Stage::Prefill)]);
-    let first = pool.start_prefill(now, 5_000, &[]).expect("an engine");
-    let second = pool.start_prefill(now, 5_000, &[]).expect("an engine");
+    let first = pool.start_prefill(now, 5_000, RegionSet::ALL, &[]).expect("an engine");
+    let second = pool.start_prefill(now, 5_000, RegionSet::ALL, &[]).expect("an engine");
     assert_ne!(first.id, second.id);
     pool.finish_prefill(now, &first.id, 5_000, PrefillEnd::Finished(Duration::from_millis(90)));
-    let third = pool.start_prefill(now, 5_000, &[]).expect("an engine");
+    let third = pool.start_prefill(now, 5_000, RegionSet::ALL, &[]).expect("an engine");
     assert_eq!(third.id, first.id);
-    assert!(pool.start_prefill(now, 5_000, &[first.id.clone(), second.id.clone()]).is_none());
+    assert!(
+        pool.start_prefill(now, 5_000, RegionSet::ALL, &[first.id.clone(), second.id.clone()])
+            .is_none()
+    );
 }
 
 #[test]
 fn an_unreachable_engine_is_retried_after_a_backoff() {
     let now = Instant::now();
     let mut pool = pool(&[engine("p", Stage::Prefill)]);
-    pool.start_prefill(now, 1, &[]);
+    pool.start_prefill(now, 1, RegionSet::ALL, &[]);
     pool.finish_prefill(now, "p", 1, PrefillEnd::Failed(Outcome::Unreachable));
-    assert!(pool.start_prefill(now, 1, &[]).is_none());
-    assert!(pool.start_prefill(now + Duration::from_millis(300), 1, &[]).is_some());
+    assert!(pool.start_prefill(now, 1, RegionSet::ALL, &[]).is_none());
+    assert!(pool.start_prefill(now + Duration::from_millis(300), 1, RegionSet::ALL, &[]).is_some());
 }
 
 /// Counts of the requests of a simulated load.
--- a/crates/rosemarypitch-forward/tests/snapshot.rs
+++ b/crates/rosemarypitch-forward/tests/snapshot.rs
@@ -20,6 +20,7 @@
         split: vec![(Arc::from("desk"), 1)],
         max_attempts: 1,
         public: true,
+        homes: Vec::new(),
     };
     let routes = [(Arc::from("a.example"), vec![Arc::new(route)])].into();
     Arc::new(ConfigSnapshot { version, routes, ..ConfigSnapshot::default() })
--- a/crates/rosemarypitch-forward/tests/stopping.rs
+++ b/crates/rosemarypitch-forward/tests/stopping.rs
@@ -7,6 +7,7 @@
 
 use rosemarypitch_forward::config::EngineSize;
 use rosemarypitch_forward::deployment::Tokens;
+use rosemarypitch_forward::homes::RegionSet;
 use rosemarypitch_forward::pool::{Decision, DecodeEnd, Estimate, Pool, SlotRequest};
 use rosemarypitch_forward::router::StopPhase;
 use rosemarypitch_forward::stop::{self, RunTimes};
@@ -21,7 +22,9 @@
     let due = now + Duration::from_secs(10);
     let required = output;
     let retried = false;
-    SlotRequest { ticket, prompt: 100, output, required, cost: 1.0, retried, due, expires: due }
+    let regions = RegionSet::ALL;
+    let expires = due;
+    SlotRequest { ticket, prompt: 100, output, required, cost: 1.0, retried, regions, due, expires }
 }
 
 /// Queues a long and a short request at a pool whose only engine is full, and decides.
--- a/crates/rosemarypitch-forward/tests/support/mod.rs
+++ b/crates/rosemarypitch-forward/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 use rosemarypitch_forward::registry::{Upstream, UpstreamState};
 
@@ -16,5 +17,6 @@
         slots: 6,
         state: UpstreamState::Ready,
         stage: None,
+        cold: Duration::ZERO,
     }
 }
--- a/crates/rosemarypitch-forward/tests/upstreams.rs
+++ b/crates/rosemarypitch-forward/tests/upstreams.rs
@@ -36,7 +36,7 @@
     let now = Instant::now();
     let mut registry = UpstreamRegistry::default();
     registry.replace(now, vec![upstream("a")], false);
-    registry.put(Upstream { state: UpstreamState::Draining, ..upstream("a") });
+    registry.put(now, Upstream { state: UpstreamState::Draining, ..upstream("a") });
     assert!(names(&registry).is_empty());
 }
 
@@ -55,9 +55,9 @@
     );
     // The store may also report a lapsed entry only when it is available again.
     registry.remove(now, "b");
-    registry.put(upstream("b"));
+    registry.put(now, upstream("b"));
     if registered_again {
-        registry.put(upstream("a"));
+        registry.put(now, upstream("a"));
     }
     let expiry = now + REREGISTER_TIME;
     assert_eq!(registry.next_expiry(), Some(expiry));
@@ -105,7 +105,7 @@
 }
 
 fn choose(balancer: &mut Balancer, now: Instant, tried: &[Arc<str>]) -> Option<String> {
-    balancer.choose(now, "howrah", tried, || 0.0).map(|chosen| chosen.id.to_string())
+    balancer.choose(now, "howrah", tried, |_| true, || 0.0).map(|chosen| chosen.id.to_string())
 }
 
 fn in_other_zone(id: &str) -> Upstream {
