--- a/crates/rosemarypitch/tests/soak/process.rs
+++ b/crates/rosemarypitch/tests/soak/process.rs
@@ -62,6 +62,11 @@
         self.child = Some(child.unwrap());
     }
 
+    /// Identifier of the process; 0 while it does not run.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Sends a signal, such as `-KILL`.
     pub fn signal(&self, name: &str) {
         let Some(child) = &self.child else { return };
