Choose prefill engines by learned speed and the row's backlog

Cause: hosts sent prompts to the engine with the smallest backlog of their own, so behind those of other hosts, and to slow engines while fast ones were idle. Change: each host learns the speeds of single engines and reports the prompts that it has sent; prefills go where they are expected to finish first, streams to fast engines up to a higher utilization, and the timeout of a prefill allows for the prompts ahead.

--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -267,8 +267,11 @@
     state.placements += 1;
     state.same_engine = choice.first.as_ref() == Some(&slot.engine.id);
     state.last_engine = Some(slot.engine.id.clone());
-    let cache =
-        if state.same_engine { None } else { prefill::prefill(router, call, state).await? };
+    let cache = if state.same_engine {
+        None
+    } else {
+        prefill::prefill(router, call, state, slot.ticket).await?
+    };
     crash::refuse_culprit(router, call)?;
     while !router.start_decode(&slot.engine, slot.ticket) {
         slot = replace_slot(router, call, state, after, &choice, slot).await?;
--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -12,7 +12,7 @@
 use crate::client;
 use crate::deployment::{EngineCommand, KvSource, ServingStage};
 use crate::health::Outcome;
-use crate::pool::PrefillEnd;
+use crate::pool::{PrefillEnd, Ticket};
 use crate::refusal::Refusal;
 use crate::registry::Upstream;
 use crate::retry::RetryPermit;
@@ -53,6 +53,7 @@
     router: &Arc<Router>,
     call: &Arc<Call>,
     state: &mut RetryState,
+    ticket: Ticket,
 ) -> Result<Option<KvCache>, Refusal> {
     let prompt = call.tokens().prompt;
     let mut tried = state.lost_caches.clone();
@@ -72,7 +73,7 @@
         let mut unspent = Some(permit);
         let chosen = router
             .with_pool(&call.service.name, |pool| {
-                pool.start_prefill(now, prompt, call.regions, &tried)
+                pool.start_prefill(now, ticket, prompt, call.regions, &tried)
             })
             .flatten();
         let Some(engine) = chosen else { return Ok(None) };
@@ -80,7 +81,7 @@
         if !first && let Some(permit) = unspent.take() {
             permit.spend();
         }
-        let cache = prefill_at(router, call, engine, prompt).await;
+        let cache = prefill_at(router, call, engine, ticket, prompt).await;
         if cache.is_some() {
             state.prefilled = true;
             return Ok(cache);
@@ -96,15 +97,20 @@
     router: &Arc<Router>,
     call: &Arc<Call>,
     engine: Arc<Upstream>,
+    ticket: Ticket,
     prompt: u64,
 ) -> Option<KvCache> {
     let start = Instant::now();
-    let guard = PrefillGuard { router, call, id: &engine.id, prompt, end: PrefillEnd::Cancelled };
+    let guard = PrefillGuard { router, call, id: &engine.id, ticket, end: PrefillEnd::Cancelled };
     let expected = router
         .with_pool(&call.service.name, |pool| pool.prefill_time(prompt))
         .unwrap_or(MIN_PREFILL_TIMEOUT);
-    let timeout =
-        (expected * PREFILL_TIMEOUT_FACTOR).max(MIN_PREFILL_TIMEOUT).min(call.remaining(start));
+    let backlog = router
+        .with_pool(&call.service.name, |pool| pool.backlog_time(start, &engine.id))
+        .unwrap_or_default();
+    // Prompts ahead of this one are no sign of trouble, and to leave would waste what is read.
+    let timeout = (expected * PREFILL_TIMEOUT_FACTOR).max(MIN_PREFILL_TIMEOUT) + backlog;
+    let timeout = timeout.min(call.remaining(start));
     let request = build_request(router, call, &engine, ServingStage::Prefill, None);
     let exchange = client::send_buffered(engine.address, request);
     let response = tokio::time::timeout(timeout, exchange).await;
@@ -136,10 +142,12 @@
     guard.finish(end);
     router.metrics.count_send("prefill", if handle.is_some() { "ok" } else { "failed" });
     log::info!(
-        "call: prefill attempt={} engine={} prompt={prompt} outcome=\"{detail}\" took_ms={}",
+        "call: prefill attempt={} engine={} prompt={prompt} outcome=\"{detail}\" took_ms={} \
+         expected_ms={}",
         call.meta.attempt,
         engine.id,
         start.elapsed().as_millis(),
+        backlog.as_millis(),
     );
     if broken {
         crash::check(router, call, &engine).await;
@@ -154,7 +162,7 @@
     router: &'a Router,
     call: &'a Call,
     id: &'a str,
-    prompt: u64,
+    ticket: Ticket,
     end: PrefillEnd,
 }
 
@@ -168,7 +176,7 @@
     fn drop(&mut self) {
         let now = Instant::now();
         self.router.with_pool(&self.call.service.name, |pool| {
-            pool.finish_prefill(now, self.id, self.prompt, self.end);
+            pool.finish_prefill(now, self.id, self.ticket, self.end);
         });
     }
 }
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -229,6 +229,7 @@
         });
         self.router.for_each_pool(|pool| {
             local.uses.extend(pool.own_streams().map(|(id, streams)| (id.clone(), streams)));
+            local.prompts.extend(pool.own_prompts().map(|(id, tokens)| (id.clone(), tokens)));
         });
         local
     }
@@ -379,8 +380,14 @@
     }
 
     fn update_pools(&self, now: Instant) {
-        let uses = self.lock().row_usage(now);
-        self.router.for_each_pool(|pool| pool.set_row_streams(&uses));
+        let (uses, prompts) = {
+            let table = self.lock();
+            (table.row_usage(now), table.row_prompts(now))
+        };
+        self.router.for_each_pool(|pool| {
+            pool.set_row_streams(&uses);
+            pool.set_row_prompts(&prompts);
+        });
         self.router.dispatch(now);
     }
 
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -16,6 +16,7 @@
 mod demand;
 mod engine;
 mod pace;
+mod speed;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -35,6 +36,7 @@
 use demand::Demand;
 use engine::{Engine, Running};
 use pace::Pace;
+use speed::{Prefill, Speed};
 
 /// Time without further attempts after an engine refused a slot; about one event.
 const FULL_PAUSE: Duration = Duration::from_millis(50);
@@ -133,6 +135,8 @@
     row_engines: Vec<Arc<str>>,
     /// Engines at which hosts of other rows have streams.
     remote_engines: Vec<Arc<str>>,
+    /// Engines to which other hosts of the row have sent prompts.
+    row_prefills: Vec<Arc<str>>,
     /// When this host stops; none while it runs.
     end: Option<Instant>,
     /// Whether all engines are in data centres that are out of service.
@@ -142,6 +146,18 @@
 /// Streams by engine.
 pub type StreamsByEngine = HashMap<Arc<str>, Vec<StreamUse>>;
 
+/// Prompts that other hosts have sent, by engine.
+pub type PromptsByEngine = HashMap<Arc<str>, Vec<SentPrompts>>;
+
+/// Prompts that another host has sent to an engine and that were not prefilled yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentPrompts {
+    /// Size, in tokens.
+    pub tokens: u64,
+    /// When the host reported them.
+    pub reported: Instant,
+}
+
 impl Pool {
     /// Creates a pool without engines for a host in `zone`.
     pub fn new(size: EngineSize, zone: Arc<str>, tuning: PoolTuning) -> Self {
@@ -163,6 +179,7 @@
             in_use: HashSet::new(),
             row_engines: Vec::new(),
             remote_engines: Vec::new(),
+            row_prefills: Vec::new(),
             end: None,
             out_of_service: false,
         }
@@ -190,7 +207,9 @@
                     running: HashMap::new(),
                     row_streams: Vec::new(),
                     remote_streams: Vec::new(),
-                    prefill_tokens: 0,
+                    prefills: HashMap::new(),
+                    row_prompts: Vec::new(),
+                    speed: Speed::default(),
                     full_until: None,
                     health: Health::default(),
                     region: self.regions.of_zone(&upstream.zone),
@@ -274,6 +293,26 @@
         }
     }
 
+    /// Sets the prompts that other hosts of the row have sent to each engine.
+    pub fn set_row_prompts(&mut self, prompts: &PromptsByEngine) {
+        for id in std::mem::take(&mut self.row_prefills) {
+            self.engines.get_mut(&id).into_iter().for_each(|engine| engine.row_prompts.clear());
+        }
+        for (id, prompts) in prompts {
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.row_prompts.extend_from_slice(prompts);
+                self.row_prefills.push(id.clone());
+            }
+        }
+    }
+
+    /// Prompt tokens of this host that are not prefilled yet, by engine.
+    pub fn own_prompts(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        let used = self.in_use.iter().filter_map(|id| Some((id, self.engines.get(id)?)));
+        let used = used.filter(|(_, engine)| !engine.prefills.is_empty());
+        used.map(|(id, engine)| (id, engine.own_backlog()))
+    }
+
     /// Streams of this host, by engine.
     pub fn own_streams(&self) -> impl Iterator<Item = (&Arc<str>, Vec<StreamUse>)> {
         let used = self.in_use.iter().filter_map(|id| Some((id, self.engines.get(id)?)));
@@ -525,7 +564,9 @@
         let memory = peak as f64 / self.size.tokens.max(1) as f64;
         let slots = engine.occupied_slots() as f64 / f64::from(self.size.slots.max(1));
         let failing = self.tuning.failure_cost * engine.health.failure_rate(now);
-        memory.max(slots) + self.locality_cost(engine) + failing
+        // A slow engine is occupied for longer by the same request.
+        let time = engine.speed.slowness(self.pace.mean());
+        memory.max(slots) * time + self.locality_cost(engine) + failing
     }
 
     /// Penalty, in units of utilization, for engines in another data centre or assigned to
@@ -537,11 +578,12 @@
         zone_cost + if preferred { 0.0 } else { self.tuning.foreign_cost }
     }
 
-    /// Chooses the prefill engine with the lowest cost that is not in `tried`, and adds the
-    /// prompt to its backlog.
+    /// Chooses the prefill engine that is expected to finish the prompt of a placed request first
+    /// and is not in `tried`, and adds the prompt to its backlog.
     pub fn start_prefill(
         &mut self,
         now: Instant,
+        ticket: Ticket,
         prompt: u64,
         regions: RegionSet,
         tried: &[Arc<str>],
@@ -552,27 +594,37 @@
                 && engine.admits(now, regions)
                 && !tried.contains(id)
         });
+        let mean = self.mean_prefill_speed();
         let costs = engines.map(|(id, engine)| {
-            // In units of prompts of this size.
-            let backlog = engine.prefill_tokens as f64 / prompt.max(1) as f64;
+            // In units of the time that a prompt of this size takes an engine of mean speed.
+            let speed = engine.speed.prefill(mean);
+            let work = (engine.backlog(now, speed) + prompt) as f64 / prompt.max(1) as f64;
+            let time = work * mean / speed;
             let failing = self.tuning.failure_cost * engine.health.failure_rate(now);
-            (backlog + failing + self.locality_cost(engine), id.clone())
+            (time + failing + self.locality_cost(engine), id.clone())
         });
         let (_, id) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
         let engine = self.engines.get_mut(&id)?;
-        engine.prefill_tokens += prompt;
+        let ahead = engine.backlog(now, engine.speed.prefill(mean));
+        engine.prefills.insert(ticket, Prefill { prompt, ahead });
         engine.gate.record(now);
+        self.in_use.insert(id);
         Some(engine.upstream.clone())
     }
 
     /// Records the end of a prefill, and removes its prompt from the engine's backlog.
-    pub fn finish_prefill(&mut self, now: Instant, id: &str, prompt: u64, end: PrefillEnd) {
+    pub fn finish_prefill(&mut self, now: Instant, id: &str, ticket: Ticket, end: PrefillEnd) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let Some(prefill) = engine.prefills.remove(&ticket) else { return };
         if let PrefillEnd::Finished(time) = end {
-            let speed = prompt as f64 / (time.as_secs_f64() * 1_000.0).max(1.0);
+            let millis = time.as_secs_f64() * 1_000.0;
+            engine.speed.record_prefill(prefill, millis);
+            let speed = prefill.prompt as f64 / millis.max(1.0);
             self.prefill_speed += PREFILL_SPEED_WEIGHT * (speed - self.prefill_speed);
         }
-        let Some(engine) = self.engines.get_mut(id) else { return };
-        engine.prefill_tokens = engine.prefill_tokens.saturating_sub(prompt);
+        if !engine.is_in_use() {
+            self.in_use.remove(id);
+        }
         match end {
             PrefillEnd::Failed(outcome) => engine.health.record(now, outcome),
             // A finished prefill is no success yet: a decode engine still has to fetch the
@@ -588,6 +640,20 @@
         }
     }
 
+    /// Forecast time until an engine has read the prompts that were sent there by now.
+    pub fn backlog_time(&self, now: Instant, id: &str) -> Duration {
+        let Some(engine) = self.engines.get(id) else { return Duration::ZERO };
+        let speed = engine.speed.prefill(self.mean_prefill_speed());
+        prefill_time(engine.backlog(now, speed), speed)
+    }
+
+    /// Mean speed of the prefill engines of which it is known, in prompt tokens per millisecond.
+    fn mean_prefill_speed(&self) -> f64 {
+        let known = self.engines.values().filter_map(|engine| engine.speed.known_prefill());
+        let (sum, count) = known.fold((0.0, 0), |(sum, count), speed| (sum + speed, count + 1));
+        if count == 0 { self.prefill_speed } else { sum / f64::from(count) }
+    }
+
     /// Forecast time to prefill a prompt.
     pub fn prefill_time(&self, prompt: u64) -> Duration {
         prefill_time(prompt, self.prefill_speed)
@@ -611,8 +677,11 @@
         let running = engine.running.remove(&ticket);
         if let (DecodeEnd::Finished(_), Some(running)) = (end, running) {
             self.pace.record(&running.progress);
+            if let Some(time) = running.progress.token_time() {
+                engine.speed.record_token_time(time);
+            }
         }
-        if engine.running.is_empty() {
+        if !engine.is_in_use() {
             self.in_use.remove(id);
         }
         match end {
--- a/crates/rosemarypitch-forward/src/pool/engine.rs
+++ b/crates/rosemarypitch-forward/src/pool/engine.rs
@@ -6,7 +6,8 @@
 use tokio::time::Instant;
 
 use super::pace::Progress;
-use super::{SlotRequest, Ticket};
+use super::speed::{Prefill, Speed};
+use super::{SentPrompts, SlotRequest, Ticket};
 use crate::cold::ColdGate;
 use crate::health::Health;
 use crate::homes::RegionSet;
@@ -24,8 +25,12 @@
     pub row_streams: Vec<StreamUse>,
     /// Streams of hosts in other rows.
     pub remote_streams: Vec<StreamUse>,
-    /// Prompt tokens that this host has sent and that are not prefilled yet.
-    pub prefill_tokens: u64,
+    /// Prompts that this host has sent and that are not prefilled yet.
+    pub prefills: HashMap<Ticket, Prefill>,
+    /// Prompts that other hosts of the row have sent.
+    pub row_prompts: Vec<SentPrompts>,
+    /// What this host has learned of its speed.
+    pub speed: Speed,
     /// End of the pause after the engine refused a slot.
     pub full_until: Option<Instant>,
     /// Recent outcomes of this host's requests.
@@ -84,6 +89,28 @@
         self.gate.admits(now, pending)
     }
 
+    /// Whether this host has requests there.
+    pub fn is_in_use(&self) -> bool {
+        !self.running.is_empty() || !self.prefills.is_empty()
+    }
+
+    /// Prompt tokens that the hosts of the row have sent and that are not prefilled yet.
+    ///
+    /// A host that has not reported again may have nothing left there, so its prompts count less
+    /// the longer its report is ago, by `speed` in tokens per millisecond.
+    pub fn backlog(&self, now: Instant, speed: f64) -> u64 {
+        let others = self.row_prompts.iter().map(|prompts| {
+            let age = now.saturating_duration_since(prompts.reported).as_secs_f64() * 1_000.0;
+            prompts.tokens.saturating_sub((age * speed) as u64)
+        });
+        self.own_backlog() + others.sum::<u64>()
+    }
+
+    /// Prompt tokens that this host has sent and that are not prefilled yet.
+    pub fn own_backlog(&self) -> u64 {
+        self.prefills.values().map(|prefill| prefill.prompt).sum()
+    }
+
     /// Slots occupied by all hosts.
     pub fn occupied_slots(&self) -> usize {
         self.running.len() + self.row_streams.len() + self.remote_streams.len()
--- a/crates/rosemarypitch-forward/src/pool/pace.rs
+++ b/crates/rosemarypitch-forward/src/pool/pace.rs
@@ -25,6 +25,11 @@
         self.latest = Some(now);
     }
 
+    /// Time of an output token, in seconds; none before the second output.
+    pub fn token_time(&self) -> Option<f64> {
+        self.later_output().map(|(tokens, time)| time.as_secs_f64() / tokens as f64)
+    }
+
     /// Tokens generated after the first output, and the time that they took.
     fn later_output(&self) -> Option<(u64, Duration)> {
         let ((start, before), end) = self.first.zip(self.latest)?;
@@ -43,12 +48,16 @@
 impl Pace {
     /// Adds a stream that has ended.
     pub fn record(&mut self, progress: &Progress) {
-        let Some((tokens, time)) = progress.later_output() else { return };
-        let token_time = time.as_secs_f64() / tokens as f64;
+        let Some(token_time) = progress.token_time() else { return };
         let mean = self.mean.unwrap_or(token_time);
         self.mean = Some(mean + PACE_WEIGHT * (token_time - mean));
     }
 
+    /// Mean over the streams that have ended, in seconds.
+    pub fn mean(&self) -> Option<f64> {
+        self.mean
+    }
+
     /// Time that one output token takes, in seconds, also judged by streams that still run; the
     /// slower of both.
     pub fn token_time<'a>(&self, running: impl Iterator<Item = &'a Progress>) -> Option<f64> {
--- a/crates/rosemarypitch-forward/tests/cold.rs
+++ b/crates/rosemarypitch-forward/tests/cold.rs
@@ -196,7 +196,8 @@
 fn a_cold_prefill_engine_gets_no_more_than_it_bears() {
     let now = Instant::now();
     let mut pool = engines(now, "p", 1);
-    let mut prefill = || pool.start_prefill(now, 5_000, RegionSet::ALL, &[]).map(|e| e.id.clone());
+    let mut prefill =
+        || pool.start_prefill(now, 1, 5_000, RegionSet::ALL, &[]).map(|e| e.id.clone());
     let chosen: BTreeMap<Arc<str>, usize> =
         (0..8).filter_map(|_| prefill()).fold(BTreeMap::new(), |mut counts, id| {
             *counts.entry(id).or_default() += 1;
@@ -251,7 +252,7 @@
     let placed = placed(&pool.decide(now));
     assert_eq!(placed.len(), 8);
     assert!(placed.iter().all(|(_, engine)| &*engine.id == "far-d"));
-    let prefill = pool.start_prefill(now, 10, north, &[]);
+    let prefill = pool.start_prefill(now, 1, 10, north, &[]);
     assert_eq!(prefill.map(|engine| engine.id.to_string()), Some("far-p".to_owned()));
 }
 
--- a/crates/rosemarypitch-forward/tests/pool.rs
+++ b/crates/rosemarypitch-forward/tests/pool.rs
@@ -182,14 +182,14 @@
 fn prompts_go_to_the_engine_with_the_smallest_backlog() {
     let now = Instant::now();
     let mut pool = pool(&[engine("p", Stage::Prefill), engine("q", Stage::Prefill)]);
-    let first = pool.start_prefill(now, 5_000, RegionSet::ALL, &[]).expect("an engine");
-    let second = pool.start_prefill(now, 5_000, RegionSet::ALL, &[]).expect("an engine");
+    let first = pool.start_prefill(now, 1, 5_000, RegionSet::ALL, &[]).expect("an engine");
+    let second = pool.start_prefill(now, 2, 5_000, RegionSet::ALL, &[]).expect("an engine");
     assert_ne!(first.id, second.id);
-    pool.finish_prefill(now, &first.id, 5_000, PrefillEnd::Finished(Duration::from_millis(90)));
-    let third = pool.start_prefill(now, 5_000, RegionSet::ALL, &[]).expect("an engine");
+    pool.finish_prefill(now, &first.id, 1, PrefillEnd::Finished(Duration::from_millis(90)));
+    let third = pool.start_prefill(now, 3, 5_000, RegionSet::ALL, &[]).expect("an engine");
     assert_eq!(third.id, first.id);
     assert!(
-        pool.start_prefill(now, 5_000, RegionSet::ALL, &[first.id.clone(), second.id.clone()])
+        pool.start_prefill(now, 4, 5_000, RegionSet::ALL, &[first.id.clone(), second.id.clone()])
             .is_none()
     );
 }
@@ -198,10 +198,12 @@
 fn an_unreachable_engine_is_retried_after_a_backoff() {
     let now = Instant::now();
     let mut pool = pool(&[engine("p", Stage::Prefill)]);
-    pool.start_prefill(now, 1, RegionSet::ALL, &[]);
+    pool.start_prefill(now, 1, 1, RegionSet::ALL, &[]);
     pool.finish_prefill(now, "p", 1, PrefillEnd::Failed(Outcome::Unreachable));
-    assert!(pool.start_prefill(now, 1, RegionSet::ALL, &[]).is_none());
-    assert!(pool.start_prefill(now + Duration::from_millis(300), 1, RegionSet::ALL, &[]).is_some());
+    assert!(pool.start_prefill(now, 1, 1, RegionSet::ALL, &[]).is_none());
+    assert!(
+        pool.start_prefill(now + Duration::from_millis(300), 2, 1, RegionSet::ALL, &[]).is_some()
+    );
 }
 
 /// Counts of the requests of a simulated load.
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -128,6 +128,8 @@
     pub spent: Vec<(Arc<str>, TokenCounts)>,
     /// Memory of the streams on each engine, by engine name.
     pub uses: Vec<(Arc<str>, Vec<StreamUse>)>,
+    /// Prompt tokens sent to each engine and not prefilled yet, by engine name.
+    pub prompts: Vec<(Arc<str>, u64)>,
 }
 
 /// Part of the fleet that a host reaches.
