Bound the bodies and connections of callers by the host's memory and descriptors

Cause: the size of one body was bounded, not what all bodies take together, and connections not at all. Change: bodies reserve memory block by block in one account, of which a quarter is kept for small ones; the slowest is given up first. A connection beyond the bound takes the place of one without claim. Unread answers count and are cut off after the idle time. The bounds follow from limits.memoryMb and limits.maxFds; without them there are none. The gateway's own interface has the bounds that it had.

--- a/crates/rosemarypitch-forward/src/body.rs
+++ b/crates/rosemarypitch-forward/src/body.rs
@@ -7,14 +7,17 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
+use crate::byte_account::{Buffer, BufferError, ByteAccount};
 use crate::refusal::{Cause, Refusal};
 use crate::relay::{ResponseBody, StreamError};
 
@@ -25,25 +28,65 @@
 /// Size up to which the rest of a body is discarded after its refusal has been sent.
 const MAX_DRAINED_BYTES: usize = 16 << 20;
 
-/// Reads a complete body of at most `limit` bytes.
-pub async fn read(body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
+/// Longest time for which a body waits for memory that others give up.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time between two attempts to get memory.
+const ROOM_INTERVAL: Duration = Duration::from_millis(5);
+/// `Retry-After` when there is no memory for a body; those that are too slow have gone by then.
+const ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Reads a complete body of at most `limit` bytes, in memory of `account`.
+pub async fn read(
+    body: &mut Incoming,
+    limit: usize,
+    account: &Arc<ByteAccount>,
+) -> Result<Bytes, Refusal> {
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::not_run(Cause::TooLarge));
     }
+    let mut buffer = Buffer::new(Instant::now(), account, limit);
+    let given_up = buffer.given_up();
     let collect = async {
-        let mut bytes = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Refusal::not_run(Cause::Malformed))?;
             let Ok(data) = frame.into_data() else { continue };
-            if bytes.len() + data.len() > limit {
-                return Err(Refusal::not_run(Cause::TooLarge));
-            }
-            bytes.extend_from_slice(&data);
+            add(&mut buffer, account, &data).await?;
         }
-        Ok(bytes.freeze())
+        buffer.join().map_err(refusal)
     };
-    let read = tokio::time::timeout(BODY_TIMEOUT, collect).await;
-    read.unwrap_or(Err(Refusal::not_run(Cause::SlowCaller)))
+    tokio::select! {
+        biased;
+        read = tokio::time::timeout(BODY_TIMEOUT, collect) => {
+            read.unwrap_or(Err(Refusal::not_run(Cause::SlowCaller)))
+        }
+        () = given_up.notified() => Err(refusal(BufferError::Full)),
+    }
+}
+
+/// Adds bytes to a body; without memory for them, the slowest of all bodies are given up.
+async fn add(buffer: &mut Buffer, account: &ByteAccount, mut data: &[u8]) -> Result<(), Refusal> {
+    let start = Instant::now();
+    loop {
+        let now = Instant::now();
+        match buffer.add(now, &mut data) {
+            Ok(()) => return Ok(()),
+            Err(BufferError::Full) if now - start < ROOM_TIMEOUT => {
+                account.give_up_slowest(now);
+                tokio::time::sleep(ROOM_INTERVAL).await;
+            }
+            Err(error) => return Err(refusal(error)),
+        }
+    }
+}
+
+fn refusal(error: BufferError) -> Refusal {
+    match error {
+        BufferError::TooLong => Refusal::not_run(Cause::TooLarge),
+        BufferError::Full => {
+            let retry = ROOM_RETRY_AFTER.mul_f64(rand::random_range(0.7..1.6));
+            Refusal::not_run(Cause::Crowded).with_retry_after(retry)
+        }
+    }
 }
 
 /// Discards a body of at most `limit` bytes; false if it is longer, too slow or broken.
--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -92,10 +92,12 @@
     }
 }
 
-/// Handles one request of a caller.
+/// Handles one request of a caller; `on_admitted` is called once it has been read completely and is
+/// going to be served.
 pub async fn handle(
     router: Arc<Router>,
     request: Request<Incoming>,
+    on_admitted: impl FnOnce(),
 ) -> Result<Response<ResponseBody>, Infallible> {
     let start = Instant::now();
     let (head, mut body) = request.into_parts();
@@ -120,6 +122,7 @@
     };
     Ok(match admitted {
         Ok(call) => {
+            on_admitted();
             let open = router.open_calls.open(attempt, start);
             respond(&router, call).await.map(|body| open.attach(body))
         }
@@ -165,7 +168,10 @@
 
 /// Whether no further request is read from the connection of a refused one.
 fn ends_connection(cause: Cause) -> bool {
-    matches!(cause, Cause::SlowCaller | Cause::TooLarge | Cause::Malformed | Cause::Stopping)
+    matches!(
+        cause,
+        Cause::SlowCaller | Cause::TooLarge | Cause::Malformed | Cause::Stopping | Cause::Crowded
+    )
 }
 
 async fn respond(router: &Arc<Router>, call: Call) -> Response<ResponseBody> {
@@ -249,7 +255,7 @@
     check_framing(&head)?;
     let config = router.config().ok_or_else(not_configured)?;
     authorize(router, &config, &head, &meta)?;
-    let body = body::read(body, config.bounds.body_bytes).await?;
+    let body = body::read(body, config.bounds.body_bytes, &router.bodies).await?;
     // The configuration may have changed while the body was read.
     let config = router.config().unwrap_or(config);
     let (route, customer) = authorize(router, &config, &head, &meta)?;
--- a/crates/rosemarypitch-forward/src/client.rs
+++ b/crates/rosemarypitch-forward/src/client.rs
@@ -8,11 +8,10 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -21,6 +20,9 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::byte_account::{Buffer, ByteAccount};
 
 /// Timeout for opening a connection; allows for a few round trips between data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -31,16 +33,13 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
-/// Minimum size of a block of a buffered response body, in bytes.
-const MIN_BLOCK_BYTES: usize = 1 << 10;
-/// Maximum size of a block of a buffered response body, in bytes.
-const MAX_BLOCK_BYTES: usize = 64 << 10;
-/// Maximum size of the blocks of all response bodies that are being buffered, in bytes. Servers that send
-/// without end would otherwise take the host's memory together.
+/// Maximum size of all response bodies that are buffered and not passed on yet, in bytes. Servers
+/// that send without end, and callers that read nothing, would otherwise take the host's memory.
 const MAX_TOTAL_BUFFERED_BYTES: usize = 16 << 20;
 
-/// Size of the blocks of all response bodies that are being buffered, in bytes.
-static TOTAL_BUFFERED_BYTES: AtomicUsize = AtomicUsize::new(0);
+/// Account of all response bodies.
+static RESPONSE_BODIES: LazyLock<Arc<ByteAccount>> =
+    LazyLock::new(|| ByteAccount::new(MAX_TOTAL_BUFFERED_BYTES));
 
 /// An exchange without a usable response.
 #[derive(Clone, Debug, thiserror::Error)]
@@ -149,81 +148,16 @@
     let to_error =
         |reason: String| SendError { step: SendStep::Body, address, reason: Arc::from(reason) };
     let (head, mut body) = exchange.response.into_parts();
-    let mut buffer = Buffer::default();
+    let mut buffer = Buffer::new(Instant::now(), &RESPONSE_BODIES, MAX_BUFFERED_BYTES);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| to_error(describe(&error)))?;
         let Ok(data) = frame.into_data() else { continue };
-        if !buffer.add(&data) {
-            return Err(to_error(format!("body too long after {} bytes", buffer.length)));
-        }
-    }
-    Ok(Response::from_parts(head, buffer.join()))
-}
-
-/// A response body that is being buffered.
-///
-/// It grows by blocks that are never moved. A single allocation that doubles would be copied
-/// again and again, and the parts that it leaves behind take several times its size.
-#[derive(Default)]
-struct Buffer {
-    blocks: Vec<BytesMut>,
-    /// Size of the received bytes.
-    length: usize,
-    /// Size of the blocks, counted in the total until dropped.
-    allocated: usize,
-}
-
-impl Buffer {
-    /// Adds received bytes; false if that exceeds a limit.
-    fn add(&mut self, mut data: &[u8]) -> bool {
-        if self.length + data.len() > MAX_BUFFERED_BYTES {
-            return false;
-        }
-        self.length += data.len();
-        while !data.is_empty() {
-            if self.blocks.last().is_none_or(|block| block.len() == block.capacity())
-                && !self.add_block(data.len())
-            {
-                return false;
-            }
-            let Some(block) = self.blocks.last_mut() else { return false };
-            let (part, rest) = data.split_at(data.len().min(block.capacity() - block.len()));
-            block.extend_from_slice(part);
-            data = rest;
+        if let Err(error) = buffer.add(Instant::now(), &mut &data[..]) {
+            return Err(to_error(format!("{error} after {} bytes", buffer.length())));
         }
-        true
-    }
-
-    /// Adds a block, for at least the given size if that is allowed; false if the total
-    /// exceeds its limit.
-    fn add_block(&mut self, size: usize) -> bool {
-        let size = size.max(self.allocated).clamp(MIN_BLOCK_BYTES, MAX_BLOCK_BYTES);
-        self.allocated += size;
-        let total = TOTAL_BUFFERED_BYTES.fetch_add(size, Ordering::Relaxed) + size;
-        if total > MAX_TOTAL_BUFFERED_BYTES {
-            return false;
-        }
-        self.blocks.push(BytesMut::with_capacity(size));
-        true
-    }
-
-    fn join(mut self) -> Bytes {
-        let mut blocks = std::mem::take(&mut self.blocks);
-        if blocks.len() <= 1 {
-            return blocks.pop().unwrap_or_default().freeze();
-        }
-        let mut bytes = BytesMut::with_capacity(self.length);
-        for block in blocks {
-            bytes.extend_from_slice(&block);
-        }
-        bytes.freeze()
-    }
-}
-
-impl Drop for Buffer {
-    fn drop(&mut self) {
-        TOTAL_BUFFERED_BYTES.fetch_sub(self.allocated, Ordering::Relaxed);
     }
+    let body = buffer.join().map_err(|error| to_error(error.to_string()))?;
+    Ok(Response::from_parts(head, body))
 }
 
 /// Whether connections to an address are refused, as after the crash of a process. No connection
--- a/crates/rosemarypitch-forward/src/connection.rs
+++ b/crates/rosemarypitch-forward/src/connection.rs
@@ -25,6 +25,7 @@
 use crate::body;
 use crate::call;
 use crate::config::CallerBounds;
+use crate::crowd::{Claim, Place};
 use crate::relay::ResponseBody;
 use crate::router::{Router, StopPhase};
 
@@ -41,8 +42,34 @@
 const SLOW_HEAD_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
-/// Serves the requests of one connection until it ends.
-pub async fn serve<S>(router: Arc<Router>, stream: S)
+/// A place for a new connection; none if all others are being served.
+pub fn enter(router: &Router) -> Option<Place> {
+    let place = router.crowd.enter(Instant::now(), router.settings.capacity.connections());
+    let outcome = if place.is_some() { "accepted" } else { "refused" };
+    router.metrics.count_connection(outcome);
+    if place.is_none() {
+        log::info!("server: connection refused open={}", router.crowd.count());
+    }
+    place
+}
+
+/// Serves the requests of one connection until it ends, or until it is closed for another one.
+pub async fn serve<S>(router: Arc<Router>, stream: S, place: Place)
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let place = Arc::new(place);
+    tokio::select! {
+        biased;
+        () = serve_requests(&router, stream, &place) => {}
+        () = place.displaced() => {
+            router.metrics.count_connection("displaced");
+            log::info!("server: connection closed for another open={}", router.crowd.count());
+        }
+    }
+}
+
+async fn serve_requests<S>(router: &Arc<Router>, stream: S, place: &Arc<Place>)
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
@@ -51,31 +78,45 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(bounds(&router).header_bytes.max(MIN_HEADER_BYTES));
-    let service = service_fn(|request| answer(router.clone(), monitor.clone(), request));
+        .max_buf_size(bounds(router).header_bytes.max(MIN_HEADER_BYTES));
+    let service =
+        service_fn(|request| answer(router.clone(), monitor.clone(), place.clone(), request));
     let io = TokioIo::new(MonitoredStream { stream, monitor: monitor.clone() });
     let mut connection = builder.serve_connection(io, service);
     let mut finish = pin!(router.reached(StopPhase::Finishing));
     let mut finishing = None;
-    let mut closing = false;
+    let mut closing = None;
     let result = loop {
         let activity = monitor.activity();
-        let end = if closing { None } else { limit(&router, activity, finishing) };
+        let end = match closing {
+            Some(since) => Some(closing_limit(router, since)),
+            None => limit(router, activity, finishing),
+        };
         let mut change = monitor.change(activity);
         tokio::select! {
             // The connection comes first, so that bytes that have arrived are read.
             biased;
             result = &mut connection => break result,
             () = &mut change => {}
-            () = sleep_until(end) => match limit(&router, activity, finishing) {
+            () = sleep_until(end), if closing.is_some() => {
+                router.metrics.count_connection("unread");
+                log::info!("server: connection closed, its response stays unread");
+                return;
+            }
+            () = sleep_until(end) => match limit(router, activity, finishing) {
                 // The configuration has changed.
                 Some(end) if end > Instant::now() => {}
                 Some(_) if matches!(activity, Activity::Receiving(_)) => {
                     let io = connection.into_parts().io.into_inner();
                     return refuse_slow_head(io).await;
                 }
+                Some(_) if matches!(activity, Activity::Unread(_) | Activity::Closing(_)) => {
+                    router.metrics.count_connection("unread");
+                    log::info!("server: connection closed, its response stays unread");
+                    return;
+                }
                 Some(_) | None => {
-                    closing = true;
+                    closing = Some(Instant::now());
                     Pin::new(&mut connection).graceful_shutdown();
                 }
             },
@@ -92,16 +133,17 @@
 async fn answer(
     router: Arc<Router>,
     monitor: Monitor,
+    place: Arc<Place>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     monitor.set(Activity::Serving);
     let leaving = router.is_stopping();
-    let mut response = call::handle(router.clone(), request).await?;
+    let mut response = call::handle(router.clone(), request, || place.set(Claim::Serving)).await?;
     if leaving || router.is_stopping() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     let close = response.headers().get(header::CONNECTION).is_some_and(|value| value == "close");
-    Ok(response.map(|body| body::with_guard(body, ServingGuard { monitor, close })))
+    Ok(response.map(|body| body::with_guard(body, ServingGuard { monitor, place, close })))
 }
 
 /// Time at which the current activity of a connection has lasted too long.
@@ -115,10 +157,17 @@
             None => start + bounds.idle_time + LIMIT_SLACK,
         }),
         Activity::Receiving(start) => Some(start + bounds.header_time + LIMIT_SLACK),
-        Activity::Serving | Activity::Closing => None,
+        Activity::Unread(start) => Some(start + bounds.idle_time + LIMIT_SLACK),
+        Activity::Serving => None,
+        Activity::Closing(since) => Some(closing_limit(router, since)),
     }
 }
 
+/// Time by which a connection that is closed since then must have sent its last response.
+fn closing_limit(router: &Router, since: Instant) -> Instant {
+    since + bounds(router).idle_time + LIMIT_SLACK
+}
+
 fn bounds(router: &Router) -> CallerBounds {
     router.config().map(|config| config.bounds).unwrap_or_default()
 }
@@ -152,8 +201,10 @@
     Receiving(Instant),
     /// A request is being answered.
     Serving,
+    /// The caller has read nothing of a response since this time, and no more can be sent.
+    Unread(Instant),
     /// The last response has been sent; the rest of its request may still be arriving.
-    Closing,
+    Closing(Instant),
 }
 
 /// Current activity of a connection.
@@ -182,6 +233,17 @@
         }
     }
 
+    /// Records whether a response can be sent on.
+    fn record_write<T>(&self, result: Poll<T>) -> Poll<T> {
+        let mut activity = self.lock();
+        match (*activity, result.is_pending()) {
+            (Activity::Serving, true) => *activity = Activity::Unread(Instant::now()),
+            (Activity::Unread(_), false) => *activity = Activity::Serving,
+            _ => {}
+        }
+        result
+    }
+
     /// Completes once the activity is no longer `old`. It has to be polled after the connection,
     /// in the same task, since only the connection changes the activity.
     fn change(&self, old: Activity) -> impl Future<Output = ()> + Unpin + use<> {
@@ -199,14 +261,17 @@
 /// Marks a connection as idle or closing on drop.
 struct ServingGuard {
     monitor: Monitor,
+    place: Arc<Place>,
     /// Whether the response closes the connection.
     close: bool,
 }
 
 impl Drop for ServingGuard {
     fn drop(&mut self) {
-        let idle = Activity::Idle(Instant::now());
-        self.monitor.set(if self.close { Activity::Closing } else { idle });
+        let now = Instant::now();
+        self.place.set(Claim::Waiting(now));
+        let idle = Activity::Idle(now);
+        self.monitor.set(if self.close { Activity::Closing(now) } else { idle });
     }
 }
 
@@ -235,7 +300,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.monitor.record_write(result)
     }
 
     fn poll_write_vectored(
@@ -243,7 +309,8 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.monitor.record_write(result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -10,6 +10,8 @@
 //! after their start, [`homes`] says in which regions a request may be served, and [`health`]
 //! rates upstreams by the outcomes of their requests.
 //!
+//! [`byte_account`] and [`crowd`] bound what callers can make a host hold, whatever they send.
+//!
 //! [`peer_table`], [`remote_rows`], [`layout`] and [`counters`] hold the state that hosts
 //! exchange, [`crash_exchange`] selects the crash records that they send each other,
 //! [`watchers`] shares the watches of the store, [`outsiders`] decides which parts of the
@@ -21,6 +23,7 @@
 pub mod body;
 pub mod bucket;
 pub mod budget;
+pub mod byte_account;
 pub mod call;
 pub mod client;
 pub mod cold;
@@ -29,6 +32,7 @@
 pub mod control;
 pub mod counters;
 pub mod crash_exchange;
+pub mod crowd;
 pub mod deployment;
 pub mod evacuation;
 pub mod events;
--- a/crates/rosemarypitch-forward/src/metrics.rs
+++ b/crates/rosemarypitch-forward/src/metrics.rs
@@ -18,6 +18,7 @@
     wait: HistogramVec,
     sends: IntCounterVec,
     gauges: IntGaugeVec,
+    connections: IntCounterVec,
 }
 
 impl Default for Metrics {
@@ -39,15 +40,21 @@
             ),
             wait: histogram("queue_seconds", "Wait for a decode slot", &["service", "customer"]),
             sends: counter("sends_total", "Requests to upstreams", &["step", "outcome"]),
+            connections: counter(
+                "connections_total",
+                "Connections of callers by what became of them",
+                &["outcome"],
+            ),
             gauges: gauge("known", "Versions and sizes that are known", &["what"]),
             registry,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 5] = [
+        let all: [Box<dyn prometheus::core::Collector>; 6] = [
             Box::new(metrics.responses.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.wait.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.gauges.clone()),
+            Box::new(metrics.connections.clone()),
         ];
         for collector in all {
             if let Err(error) = metrics.registry.register(collector) {
@@ -73,6 +80,11 @@
         self.sends.with_label_values(&[step, outcome]).inc();
     }
 
+    /// Counts a connection of a caller.
+    pub fn count_connection(&self, outcome: &str) {
+        self.connections.with_label_values(&[outcome]).inc();
+    }
+
     /// Sets the gauge of the version or size that `what` names.
     pub fn set_gauge(&self, what: &str, value: u64) {
         self.gauges.with_label_values(&[what]).set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/crates/rosemarypitch-forward/src/refusal.rs
+++ b/crates/rosemarypitch-forward/src/refusal.rs
@@ -44,6 +44,8 @@
     Internal,
     /// A part of the prompt crashes engines.
     Quarantined,
+    /// The bodies of callers take all memory that this host has for them.
+    Crowded,
 }
 
 impl Cause {
@@ -64,6 +66,7 @@
             Self::Stopping => "stopping",
             Self::Internal => "internal",
             Self::Quarantined => "quarantined",
+            Self::Crowded => "crowded",
         }
     }
 }
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -18,10 +18,12 @@
 
 use crate::balance::Balancer;
 use crate::budget::{RepeatRules, RetryBudget};
+use crate::byte_account::ByteAccount;
 use crate::cold::{self, ColdLimit};
-use crate::config::ConfigSnapshot;
+use crate::config::{CallerBounds, ConfigSnapshot};
 use crate::control;
 use crate::crash_exchange;
+use crate::crowd::{Capacity, Crowd};
 use crate::deployment::{Dialect, Directory, ResponseMeta, Update, Updates};
 use crate::homes::{RegionSet, Regions};
 use crate::layout::Layout;
@@ -62,6 +64,8 @@
     pub peers: SocketAddr,
     /// Number of traffic threads.
     pub threads: usize,
+    /// What the host has for callers.
+    pub capacity: Capacity,
     /// Whether this is the first start of the whole fleet, so that buckets start full.
     pub first_start: bool,
     /// Settings that may change while the host runs.
@@ -102,6 +106,10 @@
     stop_times: Mutex<Option<StopTimes>>,
     /// Requests that have no complete response yet.
     pub open_calls: Arc<OpenCalls>,
+    /// Memory of the bodies of callers' requests.
+    pub bodies: Arc<ByteAccount>,
+    /// Connections of callers.
+    pub crowd: Arc<Crowd>,
     config: RwLock<Option<Arc<ConfigSnapshot>>>,
     current_at: Mutex<Option<Instant>>,
     /// Revision of the store up to which this host has followed it.
@@ -155,6 +163,8 @@
         let limits = settings.limits;
         let quota = Quota::new(limits.quota, settings.first_start);
         let limits = Mutex::new(limits);
+        let largest = CallerBounds::default().body_bytes;
+        let bodies = ByteAccount::new(settings.capacity.bodies(largest));
         Self {
             settings,
             started: Instant::now(),
@@ -164,6 +174,8 @@
             stop_phase: watch::channel(StopPhase::Running).0,
             stop_times: Mutex::default(),
             open_calls: Arc::default(),
+            bodies,
+            crowd: Arc::default(),
             config: RwLock::new(None),
             current_at: Mutex::new(None),
             revision: AtomicU64::new(0),
@@ -217,6 +229,7 @@
         }
         lock(&self.configured_at).get_or_insert_with(Instant::now);
         self.metrics.set_gauge("configuration", config.version);
+        self.bodies.set_limit(self.settings.capacity.bodies(config.bounds.body_bytes));
         *current = Some(config);
         drop(current);
         self.apply_upstreams(Instant::now());
--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -149,17 +149,21 @@
     });
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = async {
+                router.crowd.room(router.settings.capacity.connections()).await;
+                listener.accept().await
+            } => accepted,
             () = &mut end => return,
         };
         match accepted {
             Ok((stream, _)) => {
+                let Some(place) = connection::enter(&router) else { continue };
                 let (router, guard) = (router.clone(), ConnectionGuard::new(open.clone()));
                 tokio::spawn(async move {
                     if let Err(error) = stream.set_nodelay(true) {
                         log::debug!("server: TCP_NODELAY not set: {error}");
                     }
-                    connection::serve(router, stream).await;
+                    connection::serve(router, stream, place).await;
                     drop(guard);
                 });
             }
@@ -181,6 +185,9 @@
 }
 
 fn metrics_page(router: &Router) -> (StatusCode, String) {
+    router.metrics.set_gauge("body_bytes", router.bodies.used() as u64);
+    router.metrics.set_gauge("bodies_arriving", router.bodies.arriving() as u64);
+    router.metrics.set_gauge("caller_connections", router.crowd.count() as u64);
     (StatusCode::OK, router.metrics.text())
 }
 
--- a/crates/rosemarypitch/tests/soak/process.rs
+++ b/crates/rosemarypitch/tests/soak/process.rs
@@ -69,8 +69,10 @@
 
     /// Sends a signal, such as `-KILL`.
     pub fn signal(&self, name: &str) {
-        let Some(child) = &self.child else { return };
-        let sent = Command::new("kill").args([name, &child.id().to_string()]).status();
+        if self.child.is_none() {
+            return;
+        }
+        let sent = Command::new("kill").args([name, &self.id().to_string()]).status();
         assert!(sent.is_ok_and(|status| status.success()), "signal {name}");
     }
 
