Prefill choice: break ties by host, and fill no fast engine further with streams

Change: ties go by rendezvous rank of host and engine; slow engines count as fuller, fast ones no longer as emptier. Ruled out: counting only what is left of the prompt being read.

--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -22,6 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemarypitch_limit::rank;
 use tokio::time::Instant;
 
 use crate::cold::{ColdGate, ColdLimit};
@@ -111,6 +112,8 @@
     size: EngineSize,
     zone: Arc<str>,
     regions: Regions,
+    /// Name under which this host breaks ties, so that hosts don't all choose the same engine.
+    host: Arc<str>,
     tuning: PoolTuning,
     engines: HashMap<Arc<str>, Engine>,
     /// Requests whose first event can still be on time, cheapest first.
@@ -165,6 +168,7 @@
             size,
             zone,
             regions: Regions::default(),
+            host: Arc::from(""),
             tuning,
             engines: HashMap::new(),
             timely: Vec::new(),
@@ -190,6 +194,11 @@
         Self { regions, ..self }
     }
 
+    /// Sets the name of the host.
+    pub fn with_host(self, host: Arc<str>) -> Self {
+        Self { host, ..self }
+    }
+
     /// Sets the usable engines, their size and the number of hosts that share them.
     ///
     /// An engine that is still the same process keeps its streams and health.
@@ -207,7 +216,7 @@
                     running: HashMap::new(),
                     row_streams: Vec::new(),
                     remote_streams: Vec::new(),
-                    prefills: HashMap::new(),
+                    prefills: Vec::new(),
                     row_prompts: Vec::new(),
                     speed: Speed::default(),
                     full_until: None,
@@ -564,8 +573,9 @@
         let memory = peak as f64 / self.size.tokens.max(1) as f64;
         let slots = engine.occupied_slots() as f64 / f64::from(self.size.slots.max(1));
         let failing = self.tuning.failure_cost * engine.health.failure_rate(now);
-        // A slow engine is occupied for longer by the same request.
-        let time = engine.speed.slowness(self.pace.mean());
+        // The same request occupies a slow engine for longer. A fast one is not filled any further
+        // for that: close to its limit, the engine preempts streams whose output was misjudged.
+        let time = engine.speed.slowness(self.pace.mean()).max(1.0);
         memory.max(slots) * time + self.locality_cost(engine) + failing
     }
 
@@ -603,10 +613,12 @@
             let failing = self.tuning.failure_cost * engine.health.failure_rate(now);
             (time + failing + self.locality_cost(engine), id.clone())
         });
-        let (_, id) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let order = |id: &str| rank(&self.host, id);
+        let (_, id) =
+            costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| order(&a.1).cmp(&order(&b.1))))?;
         let engine = self.engines.get_mut(&id)?;
         let ahead = engine.backlog(now, engine.speed.prefill(mean));
-        engine.prefills.insert(ticket, Prefill { prompt, ahead });
+        engine.prefills.push((ticket, Prefill { prompt, ahead }));
         engine.gate.record(now);
         self.in_use.insert(id);
         Some(engine.upstream.clone())
@@ -615,7 +627,7 @@
     /// Records the end of a prefill, and removes its prompt from the engine's backlog.
     pub fn finish_prefill(&mut self, now: Instant, id: &str, ticket: Ticket, end: PrefillEnd) {
         let Some(engine) = self.engines.get_mut(id) else { return };
-        let Some(prefill) = engine.prefills.remove(&ticket) else { return };
+        let Some(prefill) = engine.finish_prefill(ticket) else { return };
         if let PrefillEnd::Finished(time) = end {
             let millis = time.as_secs_f64() * 1_000.0;
             engine.speed.record_prefill(prefill, millis);
--- a/crates/rosemarypitch-forward/src/pool/engine.rs
+++ b/crates/rosemarypitch-forward/src/pool/engine.rs
@@ -25,8 +25,8 @@
     pub row_streams: Vec<StreamUse>,
     /// Streams of hosts in other rows.
     pub remote_streams: Vec<StreamUse>,
-    /// Prompts that this host has sent and that are not prefilled yet.
-    pub prefills: HashMap<Ticket, Prefill>,
+    /// Prompts that this host has sent and that are not prefilled yet, in order.
+    pub prefills: Vec<(Ticket, Prefill)>,
     /// Prompts that other hosts of the row have sent.
     pub row_prompts: Vec<SentPrompts>,
     /// What this host has learned of its speed.
@@ -107,8 +107,17 @@
     }
 
     /// Prompt tokens that this host has sent and that are not prefilled yet.
+    ///
+    /// The one that is being read counts in full. With only what is left of it, busy hosts would send
+    /// more to fast engines than these can take, and all would wait longer.
     pub fn own_backlog(&self) -> u64 {
-        self.prefills.values().map(|prefill| prefill.prompt).sum()
+        self.prefills.iter().map(|(_, prefill)| prefill.prompt).sum()
+    }
+
+    /// Removes a prompt of this host; none if there is none of this request.
+    pub fn finish_prefill(&mut self, ticket: Ticket) -> Option<Prefill> {
+        let index = self.prefills.iter().position(|(other, _)| *other == ticket)?;
+        Some(self.prefills.remove(index).1)
     }
 
     /// Slots occupied by all hosts.
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -550,6 +550,7 @@
                         let zone = self.settings.zone.clone();
                         Pool::new(size, zone, self.settings.pool)
                             .with_regions(self.settings.regions.clone())
+                            .with_host(self.settings.host.clone())
                     };
                     let pool = pools.pools.entry(name.clone()).or_insert_with(create);
                     pool.set_engines(&list, size, hosts);
--- a/crates/rosemarypitch-forward/tests/speeds.rs
+++ b/crates/rosemarypitch-forward/tests/speeds.rs
@@ -60,7 +60,8 @@
 fn play(knowledge: Knowledge, hosts: usize, rate: f64, seed: u64) -> Vec<Duration> {
     let mut random = StdRng::seed_from_u64(seed);
     let list = engines(8, Stage::Prefill);
-    let mut pools: Vec<Pool> = (0..hosts).map(|_| pool(&list)).collect();
+    let named = |host| pool(&list).with_host(Arc::from(format!("edge-{host}")));
+    let mut pools: Vec<Pool> = (0..hosts).map(named).collect();
     let start = Instant::now();
     let mut free: HashMap<Arc<str>, Instant> = HashMap::new();
     let mut running: Vec<(Instant, usize, Arc<str>, Ticket, Duration)> = Vec::new();
@@ -178,7 +179,7 @@
 
 /// A stream occupies a slow engine for longer, so fewer of them run there at a time.
 #[test]
-fn streams_go_to_fast_engines_up_to_a_higher_utilization() {
+fn fewer_streams_run_at_a_slow_engine() {
     let start = Instant::now();
     let list = engines(2, Stage::Decode);
     let mut pool = pool(&list);
