Speeds within a quarter of the mean count as equal; refuse at once with only prefill left

And a service whose decode engines were all evacuated, while prefill engines remained, let callers queue. Change: engines within a quarter of the mean speed count as equally fast; the question whether a service is out of service looks at engines that decode.

--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -507,7 +507,7 @@
 
     /// Forecast rate at which decode memory becomes free for this host, in tokens per second.
     fn drain_rate(&self) -> f64 {
-        let decode = self.engines.values().filter(|engine| engine.is_decode());
+        let decode = self.engines.values().filter(|engine| engine.upstream.is_decode());
         let (engines, own, all) = decode.fold((0.0, 0, 0), |(count, own, all), engine| {
             (count + 1.0, own + engine.running.len(), all + engine.occupied_slots())
         });
--- a/crates/rosemarypitch-forward/src/pool/engine.rs
+++ b/crates/rosemarypitch-forward/src/pool/engine.rs
@@ -12,7 +12,7 @@
 use crate::health::Health;
 use crate::homes::RegionSet;
 use crate::memory::{self, StreamUse};
-use crate::registry::{Stage, Upstream};
+use crate::registry::Upstream;
 
 /// State of an engine, as far as this host has observed it or other hosts have reported it.
 #[derive(Debug)]
@@ -68,14 +68,9 @@
 }
 
 impl Engine {
-    /// Whether the engine decodes; one without a stage does both prefill and decode.
-    pub fn is_decode(&self) -> bool {
-        self.upstream.stage != Some(Stage::Prefill)
-    }
-
     /// Whether decode requests may be sent to the engine at all, regardless of room.
     pub fn is_open(&self, now: Instant) -> bool {
-        self.is_decode()
+        self.upstream.is_decode()
             && !self.health.is_avoided(now)
             && self.full_until.is_none_or(|end| end <= now)
     }
--- a/crates/rosemarypitch-forward/src/pool/speed.rs
+++ b/crates/rosemarypitch-forward/src/pool/speed.rs
@@ -22,6 +22,10 @@
     pub ahead: u64,
 }
 
+/// Deviation from the mean up to which engines count as equally fast. What a prefill waits for is
+/// only known in part, so single engines seem somewhat faster or slower at any time.
+const TOLERANCE: f64 = 0.25;
+
 /// Speeds of one engine.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Speed {
@@ -57,12 +61,17 @@
 
     /// Prompt tokens per millisecond, given the mean of the pool.
     pub fn prefill(&self, mean: f64) -> f64 {
-        self.prefill.map_or(mean, |speed| speed.clamp(mean * RANGE.0, mean * RANGE.1))
+        self.prefill.map_or(mean, |speed| mean * ratio(speed / mean.max(f64::MIN_POSITIVE)))
     }
 
     /// Time of an output token in multiples of the mean of the pool, in seconds.
     pub fn slowness(&self, mean: Option<f64>) -> f64 {
         let known = self.token_time.zip(mean.filter(|mean| *mean > 0.0));
-        known.map_or(1.0, |(time, mean)| (time / mean).clamp(RANGE.0, RANGE.1))
+        known.map_or(1.0, |(time, mean)| ratio(time / mean))
     }
 }
+
+/// A ratio to the mean that is within [`RANGE`], or 1 if it does not differ enough.
+fn ratio(ratio: f64) -> f64 {
+    if (ratio - 1.0).abs() <= TOLERANCE { 1.0 } else { ratio.clamp(RANGE.0, RANGE.1) }
+}
--- a/crates/rosemarypitch-forward/src/registry.rs
+++ b/crates/rosemarypitch-forward/src/registry.rs
@@ -53,6 +53,13 @@
     pub cold: Duration,
 }
 
+impl Upstream {
+    /// Whether it decodes, if it is an engine; one without a stage does both prefill and decode.
+    pub fn is_decode(&self) -> bool {
+        self.stage != Some(Stage::Prefill)
+    }
+}
+
 /// Whether an upstream accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamState {
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -470,11 +470,9 @@
                 self.apply_upstreams(now);
             }
         }
-        if meta.leaving {
-            if self.mark_leaving(Instant::now(), id, incarnation, "response") {
-                lock(&self.departures).push((id.clone(), incarnation));
-                self.departed.notify_one();
-            }
+        if meta.leaving && self.mark_leaving(Instant::now(), id, incarnation, "response") {
+            lock(&self.departures).push((id.clone(), incarnation));
+            self.departed.notify_one();
         }
     }
 
@@ -526,8 +524,9 @@
             }
             lists.entry(upstream.service.clone()).or_default().push(upstream.clone());
         }
+        let evacuated = registry.evacuated().filter(|upstream| upstream.is_decode());
         let evacuated: HashSet<Arc<str>> =
-            registry.evacuated().map(|upstream| upstream.service.clone()).collect();
+            evacuated.map(|upstream| upstream.service.clone()).collect();
         drop(registry);
         self.metrics.set_gauge("cold_upstreams", cold.len() as u64);
         let layout = lock(&self.layout).clone();
@@ -554,7 +553,8 @@
                     };
                     let pool = pools.pools.entry(name.clone()).or_insert_with(create);
                     pool.set_engines(&list, size, hosts);
-                    pool.set_out_of_service(list.is_empty() && evacuated.contains(name));
+                    let served = list.iter().any(|engine| engine.is_decode());
+                    pool.set_out_of_service(!served && evacuated.contains(name));
                     // A service may be added while the host stops.
                     pool.set_end(self.stop_times().map(|times| times.exit));
                     pool.set_preferred(preferred_engines(&layout, &list));
--- a/crates/rosemarypitch-forward/tests/speeds.rs
+++ b/crates/rosemarypitch-forward/tests/speeds.rs
@@ -226,3 +226,24 @@
     read(&mut pool, &list[0].id.clone(), 200);
     assert_eq!(&*best(&mut pool, 91), "e-1");
 }
+
+/// Engines that are alike seemed faster or slower by what they happened to have waited for.
+#[test]
+fn engines_of_nearly_the_same_speed_are_chosen_by_backlog_alone() {
+    let now = Instant::now();
+    let list = engines(3, Stage::Prefill);
+    let mut pool = pool(&list);
+    for (ticket, millis) in [(0, 100), (1, 110), (2, 90)] {
+        let tried: Vec<Arc<str>> =
+            list.iter().map(|e| e.id.clone()).filter(|id| **id != *format!("e-{ticket}")).collect();
+        pool.start_prefill(now, ticket, 5_000, RegionSet::ALL, &tried).expect("an engine");
+        let end = PrefillEnd::Finished(Duration::from_millis(millis));
+        pool.finish_prefill(now, &format!("e-{ticket}"), ticket, end);
+    }
+    let mut order: Vec<String> = (10..13)
+        .filter_map(|ticket| pool.start_prefill(now, ticket, 5_000, RegionSet::ALL, &[]))
+        .map(|engine| engine.id.to_string())
+        .collect();
+    order.sort();
+    assert_eq!(order, ["e-0", "e-1", "e-2"]);
+}
