Report prompts in the encoding of the previous release

Change: the prompts at an engine that only prefills go where the streams of a decode engine go, as entries that do not grow. Hosts of the previous release read and ignore them.

--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -229,7 +229,6 @@
         });
         self.router.for_each_pool(|pool| {
             local.uses.extend(pool.own_streams().map(|(id, streams)| (id.clone(), streams)));
-            local.prompts.extend(pool.own_prompts().map(|(id, tokens)| (id.clone(), tokens)));
         });
         local
     }
--- a/crates/rosemarypitch-forward/src/peer_table.rs
+++ b/crates/rosemarypitch-forward/src/peer_table.rs
@@ -80,7 +80,6 @@
     /// Digests of the hosts of its row that it reaches.
     reached: Vec<u64>,
     uses: Vec<(Arc<str>, Vec<StreamUse>)>,
-    prompts: Vec<(Arc<str>, u64)>,
     replica: CounterReplica,
     /// When its last report arrived.
     reported: Option<Instant>,
@@ -95,8 +94,6 @@
     pub spent: Vec<(Arc<str>, TokenCounts)>,
     /// Streams at each engine.
     pub uses: Vec<(Arc<str>, Vec<StreamUse>)>,
-    /// Prompt tokens sent to each engine and not prefilled yet.
-    pub prompts: Vec<(Arc<str>, u64)>,
 }
 
 impl PeerTable {
@@ -246,7 +243,6 @@
         let sender_fraction = f64::from(report.reach.fraction);
         if peer.replica.is_current(report.id) {
             peer.uses = report.uses;
-            peer.prompts = report.prompts;
             peer.reach = report.reach;
             if let Some(reached) = report.reached {
                 peer.reached = reached;
@@ -321,7 +317,6 @@
             reached: (self.last_reached.1 > acked).then(|| self.last_reached.0.clone()),
             spent: self.counters.since(acked),
             uses: local.uses,
-            prompts: local.prompts,
         }
     }
 
@@ -495,15 +490,17 @@
         uses
     }
 
-    /// Prompts that other hosts of the row have sent to each engine, as recently reported.
+    /// What other hosts of the row have at each engine, as recently reported; at an engine that only
+    /// prefills, these are prompts.
     pub fn row_prompts(&self, now: Instant) -> PromptsByEngine {
         let interval = self.interval();
         let mut prompts = PromptsByEngine::new();
         let peers = self.layout.row_hosts().iter().filter_map(|host| self.hosts.get(host));
         for peer in peers.filter(|peer| peer.is_reporting(now, interval)) {
             let Some(reported) = peer.reported else { continue };
-            for (engine, tokens) in &peer.prompts {
-                let prompt = SentPrompts { tokens: *tokens, reported };
+            for (engine, streams) in &peer.uses {
+                let tokens = streams.iter().map(|stream| stream.held).sum();
+                let prompt = SentPrompts { tokens, reported };
                 prompts.entry(engine.clone()).or_default().push(prompt);
             }
         }
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -308,7 +308,8 @@
             self.engines.get_mut(&id).into_iter().for_each(|engine| engine.row_prompts.clear());
         }
         for (id, prompts) in prompts {
-            if let Some(engine) = self.engines.get_mut(id) {
+            let engine = self.engines.get_mut(id);
+            if let Some(engine) = engine.filter(|engine| !engine.upstream.is_decode()) {
                 engine.row_prompts.extend_from_slice(prompts);
                 self.row_prefills.push(id.clone());
             }
@@ -322,11 +323,15 @@
         used.map(|(id, engine)| (id, engine.own_backlog()))
     }
 
-    /// Streams of this host, by engine.
+    /// Streams of this host, by engine; at a prefill engine, its prompts, which do not grow.
     pub fn own_streams(&self) -> impl Iterator<Item = (&Arc<str>, Vec<StreamUse>)> {
         let used = self.in_use.iter().filter_map(|id| Some((id, self.engines.get(id)?)));
-        let used = used.filter(|(_, engine)| !engine.running.is_empty());
-        used.map(|(id, engine)| (id, engine.running.values().map(Running::stream_use).collect()))
+        used.filter(|(_, engine)| engine.is_in_use()).map(|(id, engine)| {
+            let streams = engine.running.values().map(Running::stream_use);
+            let prompts = engine.prefills.iter();
+            let prompts = prompts.map(|(_, prefill)| StreamUse { held: prefill.prompt, growth: 0 });
+            (id, streams.chain(prompts).collect())
+        })
     }
 
     /// Records the output tokens that a request has generated so far.
--- a/crates/rosemarypitch-forward/tests/churn.rs
+++ b/crates/rosemarypitch-forward/tests/churn.rs
@@ -154,7 +154,7 @@
     fn usage(&self, index: usize) -> LocalUsage {
         let spent = self.hosts[index].quota.spent();
         let spent = spent.map(|(name, spent)| (name.clone(), spent)).collect();
-        LocalUsage { spent, ..LocalUsage::default() }
+        LocalUsage { spent, uses: Vec::new() }
     }
 
     fn apply(&mut self, now: Instant, index: usize, deltas: TokenDeltas) {
--- a/crates/rosemarypitch-forward/tests/fleet.rs
+++ b/crates/rosemarypitch-forward/tests/fleet.rs
@@ -92,7 +92,7 @@
     fn local_usage(&self, host: usize) -> LocalUsage {
         let spent = self.hosts[host].quota.spent();
         let spent = spent.map(|(name, spent)| (name.clone(), spent)).collect();
-        LocalUsage { spent, ..LocalUsage::default() }
+        LocalUsage { spent, uses: Vec::new() }
     }
 
     fn send_report(&mut self, now: Instant, from: usize, to: usize) {
--- a/crates/rosemarypitch-forward/tests/peer_table.rs
+++ b/crates/rosemarypitch-forward/tests/peer_table.rs
@@ -339,7 +339,7 @@
     let now = fleet.now;
     for tokens in [100, 350] {
         let uses = vec![(engine.clone(), vec![StreamUse { held: 60, growth: 4 }; 2])];
-        let usage = LocalUsage { spent: spend(tokens), uses, ..LocalUsage::default() };
+        let usage = LocalUsage { spent: spend(tokens), uses };
         for name in &row {
             let host = fleet.hosts.get_mut(&from).expect("a host");
             let report = host.report(now, name, usage.clone());
@@ -368,7 +368,7 @@
     let now = Instant::now();
     let (a, b) = (Arc::from("a"), Arc::from("b"));
     let mut tables = (new_table("a"), new_table("b"));
-    let usage = |tokens| LocalUsage { spent: spend(tokens), ..LocalUsage::default() };
+    let usage = |tokens| LocalUsage { spent: spend(tokens), uses: Vec::new() };
     let request = tables.0.report(now, &b, usage(100));
     assert_eq!(request.spent, spend(100));
     tables.1.apply_report(now, &a, request, true);
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -126,10 +126,9 @@
     /// Token counts of customers since the host started; only those that changed since the
     /// last report that the receiver acknowledged.
     pub spent: Vec<(Arc<str>, TokenCounts)>,
-    /// Memory of the streams on each engine, by engine name.
+    /// Memory of the streams on each engine, by engine name; at an engine that only prefills, the
+    /// prompts that it has not prefilled yet, which do not grow.
     pub uses: Vec<(Arc<str>, Vec<StreamUse>)>,
-    /// Prompt tokens sent to each engine and not prefilled yet, by engine name.
-    pub prompts: Vec<(Arc<str>, u64)>,
 }
 
 /// Part of the fleet that a host reaches.
