--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -618,7 +618,8 @@
             let failing = self.tuning.failure_cost * engine.health.failure_rate(now);
             (time + failing + self.locality_cost(engine), id.clone())
         });
-        let order = |id: &str| rank(&self.host, id);
+        // Differs by request, so that engines of equal cost take turns.
+        let order = |id: &str| rank(&format!("{}/{ticket}", self.host), id);
         let (_, id) =
             costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| order(&a.1).cmp(&order(&b.1))))?;
         let engine = self.engines.get_mut(&id)?;
