Relayed state keeps its age; a host without the store asks on until it finds one with it

Callers saw: requests refused by hosts whose configuration was older than one acknowledged long before (CONFIG, DENIED), while the store turned several hosts away at once.

Cause: a copy of the store's state that a peer relays had no age, and the host that got it counted as current at that moment. Two hosts that had both lost the store confirmed each other for as long as that lasted; and a host stopped asking at the first peer with a copy, also where that peer had lost the store itself and another one had not.

A host is never more current than the one it got a copy from, and asks on until a peer answers that has the store.

Why it works: the time at which a host was current can only come from an answer of the store.

--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -267,8 +267,9 @@
         }
     }
 
-    /// Gets the store's state from one host; true if that host has a current one.
+    /// Gets the store's state from one host; true if the store answers that host.
     async fn sync_from(&self, peers: &PeerClient, host: &Arc<str>, address: SocketAddr) -> bool {
+        let asked = Instant::now();
         let SnapshotVersion { version, revision } = self.router.store_position();
         let message = PeerRequest::Snapshot { version, revision };
         let snapshot = match peers.call(address, &message, EXCHANGE_TIMEOUT).await {
@@ -281,8 +282,9 @@
         };
         match snapshot {
             Ok(snapshot) => {
-                self.router.apply_relayed(Instant::now(), snapshot);
-                true
+                let direct = snapshot.direct;
+                self.router.apply_relayed(asked, snapshot);
+                direct
             }
             Err(error) => {
                 log::warn!("peers: store state from host={host} cannot be decoded: {error}");
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -236,9 +236,10 @@
         true
     }
 
-    /// Records that this host is up to date with the store, or with a peer that is.
-    pub fn mark_current(&self, now: Instant) {
-        *lock(&self.current_at) = Some(now);
+    /// Records that this host has the state that the store had at `at`.
+    pub fn mark_current(&self, at: Instant) {
+        let mut current = lock(&self.current_at);
+        *current = Some(current.map_or(at, |known| known.max(at)));
     }
 
     /// Records the revision up to which the store has been followed; it never decreases.
@@ -307,6 +308,7 @@
         if !self.is_current(now) {
             return None;
         }
+        let age = now.saturating_duration_since((*lock(&self.current_at))?);
         let position = self.store_position();
         let config = self.config().filter(|config| config.version > have.version);
         let registry = lock(&self.registry);
@@ -317,14 +319,23 @@
         let upstreams = registry.all().map(|upstream| upstream.as_ref().clone()).collect();
         let evacuated = registry.evacuations.zones().cloned().collect();
         drop(registry);
-        let snapshot = Snapshot { revision: position.revision, config, upstreams, evacuated };
+        let snapshot = Snapshot {
+            revision: position.revision,
+            config,
+            upstreams,
+            evacuated,
+            age_ms: age.as_millis() as u64,
+            direct: !self.is_store_lost(),
+        };
         // Also sent if nothing is newer: it confirms to the peer that its state is current.
         (snapshot.revision >= have.revision).then_some(snapshot)
     }
 
-    /// Applies state of the store relayed by a peer, unless it is older than this host's.
-    pub fn apply_relayed(&self, now: Instant, snapshot: Snapshot) {
-        let have = self.store_position();
+    /// Applies state of the store relayed by a peer, which was asked for it at `asked`, unless it
+    /// is older than this host's.
+    pub fn apply_relayed(&self, asked: Instant, snapshot: Snapshot) {
+        let (now, have) = (Instant::now(), self.store_position());
+        let age = Duration::from_millis(snapshot.age_ms);
         if snapshot.revision < have.revision {
             return;
         }
@@ -344,7 +355,7 @@
             });
             self.set_revision(snapshot.revision);
         }
-        self.mark_current(now);
+        self.mark_current(asked.checked_sub(age).unwrap_or(self.started));
     }
 
     /// Whether this host was up to date with the store recently enough that its
--- a/crates/rosemarypitch-forward/src/snapshot.rs
+++ b/crates/rosemarypitch-forward/src/snapshot.rs
@@ -2,7 +2,8 @@
 //!
 //! The store may refuse single hosts while it serves the others. Such a host requests a
 //! snapshot from the peers that it can reach. Snapshots carry the store's revision, and a
-//! host only applies one that is newer than its own state.
+//! host only applies one that is newer than its own state. They also carry their age, so that a
+//! host that gets one is no more current than the host that sent it.
 
 use std::sync::Arc;
 
@@ -23,6 +24,10 @@
     pub upstreams: Vec<Upstream>,
     /// Data centres that are out of service.
     pub evacuated: Vec<Arc<str>>,
+    /// Time since the sender was last current with the store, in milliseconds.
+    pub age_ms: u64,
+    /// Whether the store answers the sender.
+    pub direct: bool,
 }
 
 /// Versions of the state that a host already has.
--- a/crates/rosemarypitch-forward/tests/snapshot.rs
+++ b/crates/rosemarypitch-forward/tests/snapshot.rs
@@ -29,7 +29,8 @@
 fn snapshot(revision: u64, version: Option<u64>) -> Snapshot {
     let upstreams = vec![support::upstream("i-1")];
     let evacuated = vec![Arc::from("behala")];
-    Snapshot { revision, config: version.map(config), upstreams, evacuated }
+    let config = version.map(config);
+    Snapshot { revision, config, upstreams, evacuated, age_ms: 20, direct: true }
 }
 
 #[test]
