Compare the store's state by era and revision

Cause: a revision was taken for a position in the store's history. After a rollback revisions go back and are given out again: a watch from an old one passes over what was written before it, a peer's newer state looks older, a watcher's log relays nothing, and the list of a full read is dropped. The class is an order compared across two histories.

A watch that is answered in another era, or pages of two eras, lead to a full read. After a rollback the registry keeps what it knows of upstreams that leave or have left, and entries that are missing wait to be written again; a host writes its entry and the secret again; what is missing from the configuration proves nothing for the time in which the operators write theirs again, also on a host that starts into a running fleet. Such hosts ask their peers for a newer configuration.

--- a/crates/rosemarypitch-forward/src/announce.rs
+++ b/crates/rosemarypitch-forward/src/announce.rs
@@ -32,6 +32,7 @@
 /// Keeps this host's entry in the store until the process ends.
 pub async fn announce(router: Arc<Router>) {
     let mut lease = None;
+    let mut era = 0;
     let mut failed = false;
     loop {
         if router.is_store_lost() {
@@ -39,6 +40,11 @@
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         }
+        let current = router.store_position().position.era;
+        if std::mem::replace(&mut era, current) != current {
+            // A restored store may have the lease without the entry.
+            lease = None;
+        }
         let delay = match renew(&router, lease).await {
             Ok(renewed) => {
                 if std::mem::take(&mut failed) {
@@ -54,7 +60,9 @@
                 RETRY_DELAY
             }
         };
-        tokio::time::sleep(delay.mul_f64(rand::random_range(0.8..1.0))).await;
+        let delay = delay.mul_f64(rand::random_range(0.8..1.0));
+        // The timeout leads to the renewal.
+        let _ = tokio::time::timeout(delay, router.left_era(era)).await;
     }
 }
 
--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -284,8 +284,8 @@
 ) -> Result<Authorized, Refusal> {
     // With a configuration that may be stale, a missing route or key proves nothing.
     let denied = |cause| {
-        let current = router.is_current(Instant::now());
-        if current { Refusal::not_run(cause) } else { not_configured() }
+        let proven = router.can_deny(Instant::now());
+        if proven { Refusal::not_run(cause) } else { not_configured() }
     };
     let host = host_name(head).ok_or(Refusal::not_run(Cause::Malformed))?;
     let route = config.route(host, head.uri.path()).ok_or_else(|| denied(Cause::NoRoute))?;
--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -8,6 +8,10 @@
 //! longer than upstreams need to miss several renewals. After a shorter one, such as a watch that
 //! was cut and whose successor is answered, a removed entry means that the upstream has left.
 //!
+//! A store that was restored from a copy has lost its latest changes, and what this host knows from
+//! before may be newer than what it reads then. The operators and the upstreams write theirs again;
+//! the hosts write their entries and the secret again.
+//!
 //! In a large row most hosts request the updates from one of the row's watchers instead, and
 //! fall back to the store; see [`watchers`].
 
@@ -19,9 +23,9 @@
 use tokio::sync::oneshot;
 
 use crate::announce;
-use crate::deployment::{DirectoryError, Update, Updates};
+use crate::deployment::{DirectoryError, StorePosition, Update, Updates};
 use crate::gossip::Gossip;
-use crate::registry::{Upstream, UpstreamRegistry};
+use crate::registry::{self, Upstream, UpstreamRegistry};
 use crate::router::Router;
 use crate::watchers::{self, RelayedUpdates, Source};
 
@@ -34,6 +38,9 @@
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Duration of a full read of the store after which a host also requests state from its peers.
 const SLOW_READ_TIME: Duration = Duration::from_millis(700);
+/// Renewals of the upstreams' entries after which those that a restored store still has belong to
+/// live upstreams: an entry lapses after three.
+const REREAD_RENEWALS: u32 = 4;
 /// Shortest delay after failed calls to the store.
 const MIN_BACKOFF: Duration = Duration::from_millis(80);
 /// Longest delay after failed calls to the store.
@@ -46,12 +53,14 @@
     let mut follower = Follower {
         router,
         gossip,
-        secret: Some(secret),
+        sender: Some(secret),
+        secret: None,
         lost_at: None,
         backoff: MIN_BACKOFF,
-        revision: 0,
+        position: StorePosition::default(),
         full_read: true,
         reread_at: None,
+        propose_at: None,
     };
     loop {
         if !follower.full_read || follower.read().await {
@@ -79,17 +88,22 @@
 struct Follower {
     router: Arc<Router>,
     gossip: Arc<Gossip>,
-    secret: Option<oneshot::Sender<Arc<str>>>,
+    /// Receiver of the secret, until it is known.
+    sender: Option<oneshot::Sender<Arc<str>>>,
+    /// Secret shared by the hosts.
+    secret: Option<Arc<str>>,
     /// Since when the store may have been away, if calls have failed since it last answered.
     lost_at: Option<Instant>,
     backoff: Duration,
-    revision: u64,
+    position: StorePosition,
     /// Whether all entries have to be read: at the start, after the store has compacted its
     /// history or a watch was unreadable, and some time after an outage.
     full_read: bool,
     /// When to read all entries again after an outage, to remove hosts whose entries have
     /// expired.
     reread_at: Option<Instant>,
+    /// When to propose a secret, if none is known by then.
+    propose_at: Option<Instant>,
 }
 
 impl Follower {
@@ -104,10 +118,15 @@
             }
         };
         let now = Instant::now();
-        let outage = self.mark_reachable(now);
+        let known = self.position != StorePosition::default();
+        let restored = known && entries.position.era > self.position.era;
+        let outage = self.mark_reachable(now) || restored;
+        if restored {
+            self.reread_at = Some(now + self.router.limits().renewal * REREAD_RENEWALS);
+        }
         log::info!(
-            "control: store read revision={} facts={} outage={outage}",
-            entries.revision,
+            "control: store read position={} facts={} outage={outage}",
+            entries.position,
             entries.updates.len(),
         );
         let (upstreams, rest): (Vec<Update>, Vec<Update>) =
@@ -115,7 +134,7 @@
         let upstreams = upstreams.into_iter().filter_map(into_upstream).collect();
         let (evacuated, rest): (Vec<Update>, Vec<Update>) =
             rest.into_iter().partition(|update| matches!(update, Update::Evacuated(_)));
-        let evacuated = evacuated.into_iter().filter_map(evacuated_zone);
+        let evacuated = evacuated.into_iter().filter_map(evacuated_zone).collect();
         let hosts: Vec<Arc<str>> = rest.iter().filter_map(host_name).collect();
         for update in rest {
             self.apply(now, update);
@@ -126,20 +145,25 @@
             self.reread_at = None;
             self.gossip.retain_hosts(&hosts);
         }
-        // A peer may have relayed a later revision during a slow read.
-        self.revision = entries.revision.max(self.router.store_position().revision);
-        if self.revision == entries.revision {
+        // A peer may have relayed a later state during a slow read.
+        self.position = entries.position.max(self.router.store_position().position);
+        if self.position == entries.position {
             self.router.update_registry(now, |registry| {
+                if restored {
+                    return registry.restore(now, upstreams, evacuated);
+                }
                 registry.replace(now, upstreams, outage);
-                registry.evacuations.replace(now, evacuated)
+                registry.evacuations.replace(now, evacuated);
             });
         }
         self.router.mark_current(now);
-        self.router.set_revision(self.revision);
-        self.router.reset_updates(self.revision);
+        self.router.set_position(self.position);
+        self.router.reset_updates(self.position);
         self.full_read = false;
         self.router.update_readiness(Instant::now());
-        self.propose_secret().await;
+        if self.secret.is_none() || restored {
+            self.propose_secret(now).await;
+        }
         true
     }
 
@@ -151,17 +175,25 @@
         }
         // Peers may have newer state before the store answers.
         if router.set_store_lost(true) {
-            log::warn!("control: store slow to answer revision={}", self.revision);
+            log::warn!("control: store slow to answer position={}", self.position);
         }
         reading.await
     }
 
-    /// Proposes a secret if this host has none; the watch returns the first one proposed.
-    async fn propose_secret(&self) {
-        if self.secret.is_none() {
+    /// Proposes the secret, or a new one if none is known; the watch returns the first one
+    /// proposed.
+    ///
+    /// After the first start of the fleet other hosts may know one that the store has lost, and
+    /// propose it again.
+    async fn propose_secret(&mut self, now: Instant) {
+        let waits = self.secret.is_none() && !self.router.settings.first_start;
+        let due = self.router.started + registry::REREGISTER_TIME;
+        self.propose_at = (waits && now < due).then_some(due);
+        if self.propose_at.is_some() {
             return;
         }
-        if let Err(error) = self.router.directory.propose_secret(&announce::new_secret()).await {
+        let secret = self.secret.clone().unwrap_or_else(|| Arc::from(announce::new_secret()));
+        if let Err(error) = self.router.directory.propose_secret(&secret).await {
             log::info!("control: proposing a secret failed: {error}");
         }
     }
@@ -175,32 +207,35 @@
                 self.backoff = Duration::ZERO;
                 return;
             }
+            if self.propose_at.is_some_and(|at| at <= now) {
+                self.propose_secret(now).await;
+            }
             let start = now;
             let NextUpdates { result, age, wait } = self.next_updates(now).await;
             let now = Instant::now();
             match result {
-                Ok(Updates { updates, revision }) => {
-                    self.router.record_updates(revision, updates.clone());
-                    self.revision = self.revision.max(revision);
+                Ok(Updates { updates, position }) => {
+                    self.router.record_updates(position, updates.clone());
+                    self.position = self.position.max(position);
                     if self.mark_reachable(now) {
                         self.router.update_registry(now, |registry| registry.keep_missing(now));
                     }
                     let received = !updates.is_empty();
                     self.apply_batch(now, updates, age);
-                    self.router.set_revision(self.revision);
+                    self.router.set_position(self.position);
                     self.router.update_readiness(Instant::now());
                     if received {
                         tokio::time::sleep(BATCH_DELAY).await;
                     }
                 }
-                Err(DirectoryError::Compacted) => {
-                    log::info!("control: store history compacted revision={}", self.revision);
+                Err(error @ (DirectoryError::Compacted | DirectoryError::Restored { .. })) => {
+                    log::info!("control: watch ended position={} {error}", self.position);
                     self.full_read = true;
                     self.backoff = Duration::ZERO;
                     return;
                 }
                 Err(error @ DirectoryError::Unreadable { .. }) => {
-                    log::warn!("control: watch unreadable revision={} {error}", self.revision);
+                    log::warn!("control: watch unreadable position={} {error}", self.position);
                     self.full_read = true;
                     // A store whose responses stay unreadable is not read without pause.
                     self.backoff = MAX_BACKOFF;
@@ -220,10 +255,10 @@
         let source = self.gossip.update_source(now);
         if let Source::Peer(watcher) = &source
             && self.lost_at.is_none()
-            && let Some(relayed) = self.gossip.relayed_updates(watcher, self.revision).await
+            && let Some(relayed) = self.gossip.relayed_updates(watcher, self.position).await
         {
-            let RelayedUpdates { updates, revision, age_ms } = relayed;
-            let (result, age) = (Ok(Updates { updates, revision }), Duration::from_millis(age_ms));
+            let RelayedUpdates { updates, position, age_ms } = relayed;
+            let (result, age) = (Ok(Updates { updates, position }), Duration::from_millis(age_ms));
             return NextUpdates { result, age, wait: Duration::ZERO };
         }
         let now = Instant::now();
@@ -235,7 +270,7 @@
             Source::Store { watcher: false } | Source::Peer(_) => self.watch_timeout(),
         };
         let wait = due.unwrap_or(max_wait).min(max_wait);
-        let result = self.router.directory.watch(self.revision, wait).await;
+        let result = self.router.directory.watch(self.position, wait).await;
         NextUpdates { result, age: Duration::ZERO, wait }
     }
 
@@ -288,7 +323,11 @@
             Update::Host(host, entry) => self.gossip.put_host(host, &entry),
             Update::HostRemoved(host) => self.gossip.remove_host(&host),
             Update::Secret(secret) => {
-                if let Some(sender) = self.secret.take() {
+                let known = self.secret.get_or_insert_with(|| secret.clone());
+                if *known != secret {
+                    log::error!("control: the store has another secret than this host");
+                }
+                if let Some(sender) = self.sender.take() {
                     // The receiver is gone only when the process ends.
                     let _ = sender.send(secret);
                 }
@@ -306,8 +345,8 @@
         // A shorter outage costs a live upstream one renewal, and its registration outlasts that.
         let lapsed = away >= self.router.limits().renewal;
         log::info!(
-            "control: store reachable again revision={} away_ms={} lapsed={lapsed}",
-            self.revision,
+            "control: store reachable again position={} away_ms={} lapsed={lapsed}",
+            self.position,
             away.as_millis(),
         );
         if lapsed {
@@ -320,7 +359,7 @@
     fn mark_lost(&mut self, lost_at: Instant, error: &DirectoryError) {
         self.lost_at.get_or_insert(lost_at);
         if self.router.set_store_lost(true) {
-            log::warn!("control: store lost revision={} {error}", self.revision);
+            log::warn!("control: store lost position={} {error}", self.position);
         }
     }
 
--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -4,6 +4,7 @@
 //! each message only once. A [`Directory`] reads and watches the entries in the
 //! deployment's store. Implementations of these traits make no routing decisions.
 
+use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -196,6 +197,12 @@
     /// The requested revision has been compacted; everything has to be read again.
     #[error("store: the history is gone")]
     Compacted,
+    /// The store was restored from a copy; everything has to be read again.
+    #[error("store: restored from a copy era={era}")]
+    Restored {
+        /// Era of the store now.
+        era: u64,
+    },
     /// A complete response that is too long or cannot be decoded; the same request would get it
     /// again.
     #[error("store {address}: {step}: unreadable: {reason}")]
@@ -240,13 +247,31 @@
     EvacuationEnded(Arc<str>),
 }
 
-/// Updates up to and including a revision of the store.
+/// Position in the history of the store.
+///
+/// A store that is restored from a copy loses its latest changes and gives out their revisions
+/// again, so revisions have an order only within one era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StorePosition {
+    /// Number of the store's current run; increases each time it is restored.
+    pub era: u64,
+    /// Revision within the era.
+    pub revision: u64,
+}
+
+impl fmt::Display for StorePosition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
+}
+
+/// Updates up to and including a position of the store.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Updates {
     /// Updates in order of revision.
     pub updates: Vec<Update>,
-    /// Revision of the store that they reach.
-    pub revision: u64,
+    /// Position of the store that they reach.
+    pub position: StorePosition,
 }
 
 /// The store of a deployment.
@@ -254,8 +279,8 @@
     /// Reads all current entries.
     fn read(&self) -> DirectoryCall<'_, Updates>;
 
-    /// Returns the changes after revision `after`; waits up to `wait` for the first one.
-    fn watch(&self, after: u64, wait: Duration) -> DirectoryCall<'_, Updates>;
+    /// Returns the changes after the position `after`; waits up to `wait` for the first one.
+    fn watch(&self, after: StorePosition, wait: Duration) -> DirectoryCall<'_, Updates>;
 
     /// Requests a lease that expires after `ttl` unless renewed, and returns its identifier.
     fn grant_lease(&self, ttl: Duration) -> DirectoryCall<'_, u64>;
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -20,6 +20,7 @@
 use crate::announce::HostEntry;
 use crate::counters::TokenDeltas;
 use crate::crash_exchange::CrashExchange;
+use crate::deployment::StorePosition;
 use crate::peer_table::{self, LocalUsage, PeerTable};
 use crate::quota::Share;
 use crate::registry;
@@ -131,7 +132,7 @@
             log::error!("peers: started twice");
         }
         tokio::spawn(self.clone().push(peers.clone()));
-        tokio::spawn(self.clone().sync_while_lost(peers.clone()));
+        tokio::spawn(self.clone().sync_with_peers(peers.clone()));
         tokio::spawn(self.clone().exchange_with_partners(peers.clone()));
         tokio::spawn(self.clone().share_crashes(peers.clone()));
         tokio::spawn(self.clone().share_departures(peers.clone()));
@@ -251,14 +252,19 @@
             .ok()
     }
 
-    /// Gets the store's state from peers while the store does not answer this host.
-    async fn sync_while_lost(self: Arc<Self>, peers: Arc<PeerClient>) {
-        loop {
+    /// Gets the store's state from peers while the store does not answer this host, or may lack
+    /// the latest configuration.
+    async fn sync_with_peers(self: Arc<Self>, peers: Arc<PeerClient>) {
+        for round in 0.. {
             tokio::time::sleep(SYNC_INTERVAL).await;
-            if !self.router.is_store_lost() {
+            let now = Instant::now();
+            if !self.router.is_store_lost() && !self.router.may_lack_config(now) {
                 continue;
             }
-            let reachable = self.lock().reachable(Instant::now());
+            let mut reachable = self.lock().reachable(now);
+            // Not all peers need have the same state.
+            let first = round % reachable.len().max(1);
+            reachable.rotate_left(first);
             for (host, address) in reachable {
                 if self.sync_from(&peers, &host, address).await {
                     break;
@@ -270,8 +276,9 @@
     /// Gets the store's state from one host; true if the store answers that host.
     async fn sync_from(&self, peers: &PeerClient, host: &Arc<str>, address: SocketAddr) -> bool {
         let asked = Instant::now();
-        let SnapshotVersion { version, revision } = self.router.store_position();
-        let message = PeerRequest::Snapshot { version, revision };
+        let SnapshotVersion { version, position } = self.router.store_position();
+        let StorePosition { era, revision } = position;
+        let message = PeerRequest::Snapshot { version, revision, era };
         let snapshot = match peers.call(address, &message, EXCHANGE_TIMEOUT).await {
             Ok(PeerReply::Snapshot(Some(bytes))) => Snapshot::decode(&bytes),
             Ok(_) => return false,
@@ -307,20 +314,29 @@
         }
     }
 
-    /// Gets the updates after `revision` from a watcher; none if it does not have them.
-    pub async fn relayed_updates(&self, from: &Arc<str>, revision: u64) -> Option<RelayedUpdates> {
-        let updates = self.request_updates(from, revision).await;
+    /// Gets the updates after a position from a watcher; none if it does not have them.
+    pub async fn relayed_updates(
+        &self,
+        from: &Arc<str>,
+        after: StorePosition,
+    ) -> Option<RelayedUpdates> {
+        let updates = self.request_updates(from, after).await;
         if updates.is_none() {
             *lock(&self.relay_failed) = Some(Instant::now());
         }
         updates
     }
 
-    async fn request_updates(&self, from: &Arc<str>, revision: u64) -> Option<RelayedUpdates> {
+    async fn request_updates(
+        &self,
+        from: &Arc<str>,
+        after: StorePosition,
+    ) -> Option<RelayedUpdates> {
         let client = self.client.get()?;
         let address = self.lock().address(from)?;
         let wait_ms = watchers::RELAY_TIME.as_millis() as u64;
-        let message = PeerRequest::Updates { revision, wait_ms };
+        let StorePosition { era, revision } = after;
+        let message = PeerRequest::Updates { revision, wait_ms, era };
         let timeout = watchers::RELAY_TIME + EXCHANGE_TIMEOUT;
         let reason = match client.call(address, &message, timeout).await {
             Ok(PeerReply::Updates(Some(bytes))) => match rosemarypitch_peer::decode(&bytes) {
@@ -331,13 +347,13 @@
             Ok(_) => "unexpected reply".to_owned(),
             Err(error) => error.to_string(),
         };
-        log::info!("control: no updates from watcher={from} revision={revision}: {reason}");
+        log::info!("control: no updates from watcher={from} position={after}: {reason}");
         None
     }
 
     /// Updates for a host that follows this one, encoded.
-    async fn encoded_updates(&self, revision: u64, wait: Duration) -> Option<Vec<u8>> {
-        let updates = self.router.updates_since(revision, wait).await?;
+    async fn encoded_updates(&self, after: StorePosition, wait: Duration) -> Option<Vec<u8>> {
+        let updates = self.router.updates_since(after, wait).await?;
         rosemarypitch_peer::encode(&updates)
             .inspect_err(|error| log::error!("peers: updates cannot be encoded: {error}"))
             .ok()
@@ -457,12 +473,14 @@
                     self.receive_row_report(&from.host, report);
                     PeerReply::Row(self.row_report(Instant::now(), &from.host))
                 }
-                PeerRequest::Snapshot { version, revision } => {
-                    PeerReply::Snapshot(self.encoded_state(SnapshotVersion { version, revision }))
+                PeerRequest::Snapshot { version, revision, era } => {
+                    let position = StorePosition { era, revision };
+                    PeerReply::Snapshot(self.encoded_state(SnapshotVersion { version, position }))
                 }
-                PeerRequest::Updates { revision, wait_ms } => {
+                PeerRequest::Updates { revision, wait_ms, era } => {
                     let wait = Duration::from_millis(wait_ms).min(watchers::RELAY_TIME);
-                    PeerReply::Updates(self.encoded_updates(revision, wait).await)
+                    let after = StorePosition { era, revision };
+                    PeerReply::Updates(self.encoded_updates(after, wait).await)
                 }
                 PeerRequest::Crashes(batch) => {
                     PeerReply::Crashes(self.receive_crashes(from, &batch))
--- a/crates/rosemarypitch-forward/src/registry.rs
+++ b/crates/rosemarypitch-forward/src/registry.rs
@@ -8,6 +8,9 @@
 //! response. It then gets no new requests, whatever the store or a copy of its state says of this
 //! run of it; only a later run is used again.
 //!
+//! A store that is restored from a copy shows upstreams as they were seconds before. Those that
+//! have begun to leave or have been removed since stay so until they register again.
+//!
 //! Upstreams in a data centre that operators have taken out of service get none either.
 
 use std::collections::HashMap;
@@ -93,6 +96,8 @@
     keep_until: Option<Instant>,
     /// Upstreams that have announced that they leave.
     leaving: HashMap<Arc<str>, Leaving>,
+    /// Upstreams whose entries have been removed.
+    removed: HashMap<Arc<str>, Leaving>,
     /// Data centres whose upstreams get no requests.
     pub evacuations: Evacuations,
     /// Upstreams that bear few requests for a time.
@@ -105,7 +110,7 @@
     missing: bool,
 }
 
-/// Announcement of an upstream that it leaves.
+/// What is known of an upstream that leaves or has left.
 #[derive(Debug)]
 struct Leaving {
     /// Run of the upstream that leaves.
@@ -129,6 +134,23 @@
         self.expire(now);
     }
 
+    /// Replaces all entries by the list of a store that was restored from a copy.
+    pub fn restore(&mut self, now: Instant, list: Vec<Upstream>, evacuated: Vec<Arc<str>>) {
+        let draining = self.all().filter(|upstream| upstream.state == UpstreamState::Draining);
+        for upstream in draining.cloned().collect::<Vec<_>>() {
+            self.mark_leaving(now, &upstream.id, upstream.incarnation);
+        }
+        let has_left = |upstream: &Upstream| {
+            let removed = self.removed.get(&upstream.id);
+            removed.is_some_and(|removed| upstream.incarnation <= removed.incarnation)
+        };
+        let list = list.into_iter().filter(|upstream| !has_left(upstream)).collect();
+        self.replace(now, list, true);
+        for zone in evacuated {
+            self.evacuations.begin(zone);
+        }
+    }
+
     /// Keeps missing entries for [`REREGISTER_TIME`], after an outage of the store.
     pub fn keep_missing(&mut self, now: Instant) {
         self.keep_until = Some(now + REREGISTER_TIME);
@@ -141,6 +163,7 @@
             *id != upstream.id || upstream.incarnation <= leaving.incarnation
         });
         let entry = Entry { upstream: Arc::new(upstream), missing: false };
+        self.removed.remove(&entry.upstream.id);
         self.entries.insert(entry.upstream.id.clone(), entry);
     }
 
@@ -184,11 +207,20 @@
         }
         self.keep_until = None;
         let removed = self.entries.extract_if(|_, entry| entry.missing);
-        let removed: Vec<Arc<str>> = removed.map(|(id, _)| id).collect();
+        let removed: Vec<(Arc<str>, u64)> =
+            removed.map(|(id, entry)| (id, entry.upstream.incarnation)).collect();
         if !removed.is_empty() {
+            let is_recent = |removed: &Leaving| {
+                now.saturating_duration_since(removed.learned_at) < LEAVING_MEMORY
+            };
+            self.removed.retain(|_, removed| is_recent(removed));
+            for (id, incarnation) in &removed {
+                let entry = Leaving { incarnation: *incarnation, learned_at: now };
+                self.removed.insert(id.clone(), entry);
+            }
             self.cold.retain(|id| self.entries.contains_key(id));
         }
-        removed
+        removed.into_iter().map(|(id, _)| id).collect()
     }
 
     /// When [`Self::expire`] must be called next, if at all.
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -24,7 +24,7 @@
 use crate::control;
 use crate::crash_exchange;
 use crate::crowd::{Capacity, Crowd};
-use crate::deployment::{Dialect, Directory, ResponseMeta, Update, Updates};
+use crate::deployment::{Dialect, Directory, ResponseMeta, StorePosition, Update, Updates};
 use crate::homes::{RegionSet, Regions};
 use crate::layout::Layout;
 use crate::metrics::Metrics;
@@ -32,7 +32,7 @@
 use crate::pool::{Pool, Ticket};
 use crate::quarantine::{CrashRecord, Quarantine};
 use crate::quota::{self, Quota, QuotaRules, Share};
-use crate::registry::{Upstream, UpstreamRegistry};
+use crate::registry::{self, Upstream, UpstreamRegistry};
 use crate::snapshot::{Snapshot, SnapshotVersion};
 use crate::stop::StopTimes;
 use crate::tuning::PoolTuning;
@@ -112,8 +112,10 @@
     pub crowd: Arc<Crowd>,
     config: RwLock<Option<Arc<ConfigSnapshot>>>,
     current_at: Mutex<Option<Instant>>,
-    /// Revision of the store up to which this host has followed it.
-    revision: AtomicU64,
+    /// Position up to which this host has followed the store.
+    position: watch::Sender<StorePosition>,
+    /// Until when the store may lack a configuration that it has acknowledged.
+    unproven_until: Mutex<Option<Instant>>,
     store_lost: AtomicBool,
     /// Updates of the store received by this host, for the hosts that follow it.
     update_log: Mutex<UpdateLog>,
@@ -178,7 +180,8 @@
             crowd: Arc::default(),
             config: RwLock::new(None),
             current_at: Mutex::new(None),
-            revision: AtomicU64::new(0),
+            position: watch::channel(StorePosition::default()).0,
+            unproven_until: Mutex::default(),
             store_lost: AtomicBool::new(false),
             update_log: Mutex::default(),
             updated: Notify::new(),
@@ -242,26 +245,60 @@
         *current = Some(current.map_or(at, |known| known.max(at)));
     }
 
-    /// Records the revision up to which the store has been followed; it never decreases.
-    pub fn set_revision(&self, revision: u64) {
-        self.revision.fetch_max(revision, Ordering::Relaxed);
-        self.metrics.set_gauge("revision", revision);
+    /// Records the position up to which the store has been followed; it never decreases.
+    ///
+    /// A store that was restored from a copy, and one that this process has not followed before,
+    /// may lack the latest configuration for a time.
+    pub fn set_position(&self, position: StorePosition) {
+        let old = *self.position.borrow();
+        let first = old == StorePosition::default();
+        if position.era > old.era || first {
+            if !first {
+                log::warn!("control: store restored from a copy position={position} before={old}");
+            }
+            if !first || !self.settings.first_start {
+                *lock(&self.unproven_until) = Some(Instant::now() + registry::REREGISTER_TIME);
+            }
+        }
+        self.position.send_if_modified(|known| {
+            let later = position > *known;
+            *known = position.max(*known);
+            later
+        });
+        self.metrics.set_gauge("revision", position.revision);
+        self.metrics.set_gauge("store_era", position.era);
+    }
+
+    /// Whether the store may lack a configuration that it has acknowledged, since it was restored
+    /// from a copy shortly before.
+    pub fn may_lack_config(&self, now: Instant) -> bool {
+        lock(&self.unproven_until).is_some_and(|end| now < end)
     }
 
-    /// Records that this host has read all entries up to `revision`.
-    pub fn reset_updates(&self, revision: u64) {
-        lock(&self.update_log).reset(revision);
+    /// Waits until the store's era is another one than `era`.
+    pub async fn left_era(&self, era: u64) {
+        // The sender lives as long as the router, so this cannot fail.
+        let _ = self.position.subscribe().wait_for(|position| position.era != era).await;
+    }
+
+    /// Records that this host has read all entries up to `position`.
+    pub fn reset_updates(&self, position: StorePosition) {
+        lock(&self.update_log).reset(position);
     }
 
-    /// Records updates up to `revision`, for the hosts that follow this one.
-    pub fn record_updates(&self, revision: u64, updates: Vec<Update>) {
-        lock(&self.update_log).push(revision, updates);
+    /// Records updates up to `position`, for the hosts that follow this one.
+    pub fn record_updates(&self, position: StorePosition, updates: Vec<Update>) {
+        lock(&self.update_log).push(position, updates);
         self.updated.notify_waiters();
     }
 
-    /// Updates after `revision` for a host that follows this one; waits up to `wait` for them.
+    /// Updates after a position for a host that follows this one; waits up to `wait` for them.
     /// None if this host is not current with the store, or has not kept them.
-    pub async fn updates_since(&self, revision: u64, wait: Duration) -> Option<RelayedUpdates> {
+    pub async fn updates_since(
+        &self,
+        after: StorePosition,
+        wait: Duration,
+    ) -> Option<RelayedUpdates> {
         let end = Instant::now() + wait;
         loop {
             let updated = self.updated.notified();
@@ -271,10 +308,10 @@
             if self.is_store_lost() || age > watchers::WATCH_TIME * 2 {
                 return None;
             }
-            let Updates { updates, revision: reached } = lock(&self.update_log).since(revision)?;
+            let Updates { updates, position } = lock(&self.update_log).since(after)?;
             if !updates.is_empty() || now >= end {
                 let age_ms = age.as_millis() as u64;
-                return Some(RelayedUpdates { updates, revision: reached, age_ms });
+                return Some(RelayedUpdates { updates, position, age_ms });
             }
             // A timeout leads to the empty reply.
             let _ = tokio::time::timeout_at(end, updated).await;
@@ -296,39 +333,40 @@
         self.store_lost.load(Ordering::Relaxed)
     }
 
-    /// Version of the configuration and revision of the store that this host has.
+    /// Version of the configuration and position of the store that this host has.
     pub fn store_position(&self) -> SnapshotVersion {
         let version = self.config().map_or(0, |config| config.version);
-        SnapshotVersion { version, revision: self.revision.load(Ordering::Relaxed) }
+        SnapshotVersion { version, position: *self.position.borrow() }
     }
 
     /// State of the store for a peer at the position `have`; none if this host may be stale
-    /// itself, is behind that position, or still waits for upstreams to register again.
+    /// itself. One that is behind that position, or still waits for upstreams to register again,
+    /// has only its configuration to relay, if that is newer.
     pub fn state_since(&self, now: Instant, have: SnapshotVersion) -> Option<Snapshot> {
         if !self.is_current(now) {
             return None;
         }
         let age = now.saturating_duration_since((*lock(&self.current_at))?);
-        let position = self.store_position();
+        let mut position = self.store_position().position;
         let config = self.config().filter(|config| config.version > have.version);
         let registry = lock(&self.registry);
         // The peer would take an entry that is missing from the store for one that is registered.
-        if registry.has_missing() {
-            return None;
+        if registry.has_missing() || position < have.position {
+            config.as_ref()?;
+            position = StorePosition::default();
         }
         let upstreams = registry.all().map(|upstream| upstream.as_ref().clone()).collect();
         let evacuated = registry.evacuations.zones().cloned().collect();
         drop(registry);
-        let snapshot = Snapshot {
-            revision: position.revision,
+        // Also sent if nothing is newer: it confirms to the peer that its state is current.
+        Some(Snapshot {
+            position,
             config,
             upstreams,
             evacuated,
             age_ms: age.as_millis() as u64,
             direct: !self.is_store_lost(),
-        };
-        // Also sent if nothing is newer: it confirms to the peer that its state is current.
-        (snapshot.revision >= have.revision).then_some(snapshot)
+        })
     }
 
     /// Applies state of the store relayed by a peer, which was asked for it at `asked`, unless it
@@ -336,24 +374,30 @@
     pub fn apply_relayed(&self, asked: Instant, snapshot: Snapshot) {
         let (now, have) = (Instant::now(), self.store_position());
         let age = Duration::from_millis(snapshot.age_ms);
-        if snapshot.revision < have.revision {
-            return;
-        }
         if snapshot.is_newer_than(have) {
             log::info!(
-                "control: state relayed by a peer revision={} version={} before_revision={}",
-                snapshot.revision,
+                "control: state relayed by a peer position={} version={} before={}",
+                snapshot.position,
                 snapshot.config.as_ref().map_or(have.version, |config| config.version),
-                have.revision,
+                have.position,
             );
-            if let Some(config) = snapshot.config {
-                self.set_config(config);
-            }
+        }
+        if let Some(config) = snapshot.config {
+            self.set_config(config);
+        }
+        if snapshot.position < have.position {
+            return;
+        }
+        if snapshot.position > have.position {
             self.update_registry(now, |registry| {
-                registry.replace(now, snapshot.upstreams, false);
-                registry.evacuations.replace(now, snapshot.evacuated)
+                if snapshot.position.era > have.position.era {
+                    registry.restore(now, snapshot.upstreams, snapshot.evacuated);
+                } else {
+                    registry.replace(now, snapshot.upstreams, false);
+                    registry.evacuations.replace(now, snapshot.evacuated);
+                }
             });
-            self.set_revision(snapshot.revision);
+            self.set_position(snapshot.position);
         }
         self.mark_current(asked.checked_sub(age).unwrap_or(self.started));
     }
@@ -365,6 +409,11 @@
         lock(&self.current_at).is_some_and(|at| now.duration_since(at) < max_age)
     }
 
+    /// Whether a route or a key that is missing from the configuration does not exist.
+    pub fn can_deny(&self, now: Instant) -> bool {
+        self.is_current(now) && !self.may_lack_config(now)
+    }
+
     /// Whether the host is ready for callers and not stopping.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed) && !self.is_stopping()
--- a/crates/rosemarypitch-forward/src/snapshot.rs
+++ b/crates/rosemarypitch-forward/src/snapshot.rs
@@ -1,8 +1,9 @@
 //! Copies of the store's state, passed between hosts.
 //!
 //! The store may refuse single hosts while it serves the others. Such a host requests a
-//! snapshot from the peers that it can reach. Snapshots carry the store's revision, and a
-//! host only applies one that is newer than its own state. They also carry their age, so that a
+//! snapshot from the peers that it can reach. Snapshots carry the position of the store, and a
+//! host only applies one that is newer than its own state. The configuration is applied by its own
+//! version: a store that was restored from a copy may have an older one than the peers. They also carry their age, so that a
 //! host that gets one is no more current than the host that sent it.
 
 use std::sync::Arc;
@@ -10,13 +11,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::ConfigSnapshot;
+use crate::deployment::StorePosition;
 use crate::registry::Upstream;
 
 /// A host's copy of the store's configuration, upstreams and evacuations.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// Revision of the store that the copy reflects.
-    pub revision: u64,
+    /// Position of the store that the copy reflects.
+    pub position: StorePosition,
     /// The configuration, if it is newer than that of the requesting host.
     #[serde(rename = "site")]
     pub config: Option<Arc<ConfigSnapshot>>,
@@ -31,19 +33,23 @@
 }
 
 /// Versions of the state that a host already has.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SnapshotVersion {
     /// Version of its configuration; 0 if it has none.
     pub version: u64,
-    /// Revision of the store that its state reflects.
-    pub revision: u64,
+    /// Position of the store that its state reflects.
+    pub position: StorePosition,
 }
 
 impl Snapshot {
-    /// Whether the snapshot has a later revision or configuration than `have`.
+    /// Whether the snapshot has a later position or configuration than `have`.
     pub fn is_newer_than(&self, have: SnapshotVersion) -> bool {
-        self.revision > have.revision
-            || self.config.as_ref().is_some_and(|config| config.version > have.version)
+        self.position > have.position || self.has_newer_config(have)
+    }
+
+    /// Whether the snapshot has a later configuration than `have`.
+    pub fn has_newer_config(&self, have: SnapshotVersion) -> bool {
+        self.config.as_ref().is_some_and(|config| config.version > have.version)
     }
 
     /// Encodes the snapshot for a message between hosts.
--- a/crates/rosemarypitch-forward/src/watchers.rs
+++ b/crates/rosemarypitch-forward/src/watchers.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::deployment::{Update, Updates};
+use crate::deployment::{StorePosition, Update, Updates};
 
 /// Smallest row in which only some hosts watch the store.
 const MIN_ROW_SIZE: usize = 8;
@@ -60,33 +60,36 @@
 pub struct RelayedUpdates {
     /// Updates in order of revision.
     pub updates: Vec<Update>,
-    /// Revision of the store that they reach.
-    pub revision: u64,
+    /// Position of the store that they reach.
+    pub position: StorePosition,
     /// Time since the watcher was last current with the store, in milliseconds.
     pub age_ms: u64,
 }
 
-/// The latest updates received by a watcher, in contiguous batches.
+/// The latest updates received by a watcher, in contiguous batches of one era of the store.
 #[derive(Debug, Default)]
 pub struct UpdateLog {
-    /// Revision before the first batch.
-    start: u64,
-    batches: VecDeque<(u64, Vec<Update>)>,
+    /// Position before the first batch.
+    start: StorePosition,
+    batches: VecDeque<(StorePosition, Vec<Update>)>,
 }
 
 impl UpdateLog {
-    /// Drops all batches after a full read up to `revision`.
-    pub fn reset(&mut self, revision: u64) {
-        self.start = revision;
+    /// Drops all batches after a full read up to `position`.
+    pub fn reset(&mut self, position: StorePosition) {
+        self.start = position;
         self.batches.clear();
     }
 
-    /// Adds the batch that reaches `revision`.
-    pub fn push(&mut self, revision: u64, updates: Vec<Update>) {
-        if revision <= self.end() {
+    /// Adds the batch that reaches `position`.
+    pub fn push(&mut self, position: StorePosition, updates: Vec<Update>) {
+        if position.era != self.start.era {
+            return self.reset(position);
+        }
+        if position <= self.end() {
             return;
         }
-        self.batches.push_back((revision, updates));
+        self.batches.push_back((position, updates));
         if self.batches.len() > MAX_BATCHES
             && let Some((first, _)) = self.batches.pop_front()
         {
@@ -94,22 +97,22 @@
         }
     }
 
-    /// Revision that the log reaches.
-    pub fn end(&self) -> u64 {
-        self.batches.back().map_or(self.start, |(revision, _)| *revision)
+    /// Position that the log reaches.
+    pub fn end(&self) -> StorePosition {
+        self.batches.back().map_or(self.start, |(position, _)| *position)
     }
 
-    /// Updates after `revision`, if there are any yet; none if the log does not reach back so
-    /// far.
+    /// Updates after `position`, if there are any yet; none if the log does not reach back so
+    /// far, or is of another era.
     ///
-    /// The first batch may contain updates up to `revision`. They are followed by all later
+    /// The first batch may contain updates up to `position`. They are followed by all later
     /// ones, so applying the whole batch leads to the state at its end.
-    pub fn since(&self, revision: u64) -> Option<Updates> {
-        if revision < self.start {
+    pub fn since(&self, position: StorePosition) -> Option<Updates> {
+        if position < self.start || position.era != self.start.era {
             return None;
         }
-        let later = self.batches.iter().filter(|(end, _)| *end > revision);
+        let later = self.batches.iter().filter(|(end, _)| *end > position);
         let updates = later.flat_map(|(_, updates)| updates.iter().cloned()).collect();
-        Some(Updates { updates, revision: self.end() })
+        Some(Updates { updates, position: self.end() })
     }
 }
--- a/crates/rosemarypitch-forward/tests/watchers.rs
+++ b/crates/rosemarypitch-forward/tests/watchers.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use rosemarypitch_forward::deployment::Update;
+use rosemarypitch_forward::deployment::{StorePosition, Update};
 use rosemarypitch_forward::watchers::{Source, UpdateLog, source};
 use rstest::rstest;
 
@@ -10,6 +10,10 @@
     (0..count).map(|number| Arc::from(format!("edge-{number:02}"))).collect()
 }
 
+fn at(revision: u64) -> StorePosition {
+    StorePosition { era: 1, revision }
+}
+
 fn removed(id: &str) -> Update {
     Update::HostRemoved(Arc::from(id))
 }
@@ -48,41 +52,57 @@
 #[test]
 fn a_log_relays_the_batches_after_a_revision() {
     let mut log = UpdateLog::default();
-    log.reset(10);
-    log.push(12, vec![removed("a"), removed("b")]);
-    log.push(15, vec![removed("c")]);
-    let relayed = |revision| log.since(revision).map(|updates| updates.updates.len());
+    log.reset(at(10));
+    log.push(at(12), vec![removed("a"), removed("b")]);
+    log.push(at(15), vec![removed("c")]);
+    let relayed = |revision| log.since(at(revision)).map(|updates| updates.updates.len());
     assert_eq!(relayed(10), Some(3));
     // Part of the first batch is relayed again, followed by all that came after it.
     assert_eq!(relayed(11), Some(3));
     assert_eq!(relayed(12), Some(1));
     assert_eq!(relayed(15), Some(0));
-    assert_eq!(log.since(12).map(|updates| updates.revision), Some(15));
+    assert_eq!(log.since(at(12)).map(|updates| updates.position), Some(at(15)));
 }
 
 /// A host that follows a watcher never goes back, and misses no update.
 #[test]
 fn a_log_has_no_updates_for_hosts_that_are_ahead_or_too_far_behind() {
     let mut log = UpdateLog::default();
-    log.reset(10);
-    assert!(log.since(9).is_none());
-    log.push(12, vec![removed("a")]);
+    log.reset(at(10));
+    assert!(log.since(at(9)).is_none());
+    log.push(at(12), vec![removed("a")]);
     // The host has read the store later than the watcher, which is about to catch up.
-    assert_eq!(log.since(13).map(|updates| updates.updates), Some(Vec::new()));
+    assert_eq!(log.since(at(13)).map(|updates| updates.updates), Some(Vec::new()));
     for revision in 11..200 {
-        log.push(revision, vec![removed("a")]);
+        log.push(at(revision), vec![removed("a")]);
     }
-    assert!(log.since(20).is_none());
-    assert_eq!(log.since(190).map(|updates| updates.updates.len()), Some(9));
-    log.reset(300);
-    assert!(log.since(199).is_none());
+    assert!(log.since(at(20)).is_none());
+    assert_eq!(log.since(at(190)).map(|updates| updates.updates.len()), Some(9));
+    log.reset(at(300));
+    assert!(log.since(at(199)).is_none());
 }
 
 #[test]
 fn a_repeated_batch_is_recorded_once() {
     let mut log = UpdateLog::default();
-    log.reset(10);
-    log.push(12, vec![removed("a")]);
-    log.push(12, vec![removed("a")]);
-    assert_eq!(log.since(10).map(|updates| updates.updates.len()), Some(1));
+    log.reset(at(10));
+    log.push(at(12), vec![removed("a")]);
+    log.push(at(12), vec![removed("a")]);
+    assert_eq!(log.since(at(10)).map(|updates| updates.updates.len()), Some(1));
+}
+
+/// After the store was restored from a copy, revisions are given out again, and a log that only
+/// rose relayed none of the new updates.
+#[test]
+fn a_log_has_no_updates_across_eras() {
+    let mut log = UpdateLog::default();
+    log.reset(at(10));
+    log.push(at(12), vec![removed("a")]);
+    let restored = |revision| StorePosition { era: 2, revision };
+    assert!(log.since(restored(8)).is_none());
+    log.reset(restored(8));
+    log.push(restored(9), vec![removed("b")]);
+    assert_eq!(log.since(restored(8)).map(|updates| updates.updates.len()), Some(1));
+    assert!(log.since(at(8)).is_none());
+    assert!(log.since(at(12)).is_none());
 }
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -57,6 +57,8 @@
         version: u64,
         /// Store revision up to which the sender is current.
         revision: u64,
+        /// Era of the store that the revision belongs to.
+        era: u64,
     },
     /// Requests the updates of the store from a host that watches it; the reply is sent once
     /// there are any, or after the wait.
@@ -65,6 +67,8 @@
         revision: u64,
         /// Longest wait for updates, in milliseconds.
         wait_ms: u64,
+        /// Era of the store that the revision belongs to.
+        era: u64,
     },
     /// Sends and offers records of crashed engines, encoded.
     Crashes(Vec<u8>),
