Date the store's answers from when it may have given them

Cause: an answer counted as current when it arrived, however long it had been on its way over a full link; and an absence counted as proven for 3.5 s, longer than the time in which a change has to be in force.

Change: an answer counts from the earliest time at which the store may have given it; the same for updates that a watcher relays. A route or key that is missing is denied only by state that is younger than that time, 503 says the rest. A watch after an answer that may be old is shorter, so that quiet hosts stay current. The log line of a refusal has position and age of the state.

--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -150,12 +150,16 @@
                 read = body::discard(&mut body, limit) => read,
                 () = router.reached(StopPhase::Cutting) => false,
             };
+    let state_age = router.state_age(Instant::now());
     log::info!(
-        "call: refused attempt={attempt} cause={} ran=no version={} body={} age_ms={}",
+        "call: refused attempt={attempt} cause={} ran=no version={} body={} age_ms={} position={} \
+         state_age_ms={}",
         refusal.cause.name(),
         config.map_or(0, |config| config.version),
         if read { "read" } else { "unread" },
         start.elapsed().as_millis(),
+        router.store_position().position,
+        state_age.map_or(-1, |age| age.as_millis() as i64),
     );
     router.metrics.record_response("-", "-", refusal.cause.name(), start.elapsed());
     let mut response = refusal_response(router, attempt, refusal);
--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -2,7 +2,8 @@
 //!
 //! One watch covers all entries. It is renewed often enough that a host never goes on using a
 //! leaving upstream for longer than allowed, and a watch that returns nothing in time means
-//! that the store is lost. A host that has lost the store keeps its last state.
+//! that the store is lost. A host that has lost the store keeps its last state. An answer may be
+//! seconds on its way, so it counts from the earliest time at which the store may have given it.
 //!
 //! Registrations of live upstreams lapse in an outage of the store, but only in one that lasts
 //! longer than upstreams need to miss several renewals. After a shorter one, such as a watch that
@@ -156,7 +157,7 @@
                 registry.evacuations.replace(now, evacuated);
             });
         }
-        self.router.mark_current(now);
+        self.router.mark_current(start);
         self.router.set_position(self.position);
         self.router.reset_updates(self.position);
         self.full_read = false;
@@ -269,9 +270,16 @@
             Source::Store { watcher: true } => self.watch_timeout().min(watchers::WATCH_TIME),
             Source::Store { watcher: false } | Source::Peer(_) => self.watch_timeout(),
         };
+        // Updates that may have been late are soon confirmed to be the latest ones.
+        let max_wait = max_wait.saturating_sub(self.router.state_age(now).unwrap_or_default());
         let wait = due.unwrap_or(max_wait).min(max_wait);
+        let asked = Instant::now();
         let result = self.router.directory.watch(self.position, wait).await;
-        NextUpdates { result, age: Duration::ZERO, wait }
+        let elapsed = asked.elapsed();
+        // A watch without events is answered at the end of its wait, any other at an unknown time.
+        let waited = matches!(&result, Ok(next) if next.updates.is_empty()) && elapsed >= wait;
+        let age = if waited { elapsed - wait } else { elapsed };
+        NextUpdates { result, age, wait }
     }
 
     fn watch_timeout(&self) -> Duration {
--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -338,11 +338,14 @@
         let StorePosition { era, revision } = after;
         let message = PeerRequest::Updates { revision, wait_ms, era };
         let timeout = watchers::RELAY_TIME + EXCHANGE_TIMEOUT;
+        let asked = Instant::now();
         let reason = match client.call(address, &message, timeout).await {
-            Ok(PeerReply::Updates(Some(bytes))) => match rosemarypitch_peer::decode(&bytes) {
-                Ok(updates) => return Some(updates),
-                Err(error) => error,
-            },
+            Ok(PeerReply::Updates(Some(bytes))) => {
+                match rosemarypitch_peer::decode::<RelayedUpdates>(&bytes) {
+                    Ok(updates) => return Some(updates.received(asked.elapsed())),
+                    Err(error) => error,
+                }
+            }
             Ok(PeerReply::Updates(None)) => "not available".to_owned(),
             Ok(_) => "unexpected reply".to_owned(),
             Err(error) => error.to_string(),
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -346,7 +346,7 @@
         if !self.is_current(now) {
             return None;
         }
-        let age = now.saturating_duration_since((*lock(&self.current_at))?);
+        let age = self.state_age(now)?;
         let mut position = self.store_position().position;
         let config = self.config().filter(|config| config.version > have.version);
         let registry = lock(&self.registry);
@@ -406,12 +406,19 @@
     /// configuration is not considered stale.
     pub fn is_current(&self, now: Instant) -> bool {
         let max_age = control::watch_timeout(self.limits().news) + STALENESS_MARGIN;
-        lock(&self.current_at).is_some_and(|at| now.duration_since(at) < max_age)
+        self.state_age(now).is_some_and(|age| age < max_age)
     }
 
-    /// Whether a route or a key that is missing from the configuration does not exist.
+    /// Time since this host was last up to date with the store; none before that.
+    pub fn state_age(&self, now: Instant) -> Option<Duration> {
+        lock(&self.current_at).map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Whether a route or a key that is missing from the configuration does not exist: no change
+    /// that has to be in force can be missing.
     pub fn can_deny(&self, now: Instant) -> bool {
-        self.is_current(now) && !self.may_lack_config(now)
+        let max_age = self.limits().news;
+        self.state_age(now).is_some_and(|age| age < max_age) && !self.may_lack_config(now)
     }
 
     /// Whether the host is ready for callers and not stopping.
--- a/crates/rosemarypitch-forward/src/watchers.rs
+++ b/crates/rosemarypitch-forward/src/watchers.rs
@@ -66,6 +66,16 @@
     pub age_ms: u64,
 }
 
+impl RelayedUpdates {
+    /// Adds the time that the reply may have been on its way, given the time since the request.
+    pub fn received(self, elapsed: Duration) -> Self {
+        // A reply without updates is sent at the end of the wait.
+        let waited = self.updates.is_empty() && elapsed >= RELAY_TIME;
+        let transit = if waited { elapsed - RELAY_TIME } else { elapsed };
+        Self { age_ms: self.age_ms.saturating_add(transit.as_millis() as u64), ..self }
+    }
+}
+
 /// The latest updates received by a watcher, in contiguous batches of one era of the store.
 #[derive(Debug, Default)]
 pub struct UpdateLog {
