Leave upstreams alone for the rest that they ask for

Cause: nothing read the header (hypothesis H1), on any path (H2). Requests that were placed before the answer could be sent long after it (H3).

Until its end the upstream gets no request, prompt, reservation, release, retry or resumed stream; a request whose engine begins to rest while its prompt is read moves. With all upstreams of a service resting, callers are refused at once with the time of the first one that is open, spread so that they do not all come back to it.

--- a/crates/rosemarypitch-forward/src/balance.rs
+++ b/crates/rosemarypitch-forward/src/balance.rs
@@ -45,6 +45,8 @@
     report: Option<(Instant, Load, u32)>,
     health: Health,
     gate: ColdGate,
+    /// End of the rest that it has asked for.
+    rest_until: Option<Instant>,
 }
 
 impl Balancer {
@@ -64,12 +66,29 @@
                     report: None,
                     health: Health::default(),
                     gate: ColdGate::default(),
+                    rest_until: None,
                 },
             };
             self.servers.insert(upstream.id.clone(), server);
         }
     }
 
+    /// Sends nothing to a run of a server until `end`.
+    pub fn set_rest(&mut self, server: &Upstream, end: Instant) {
+        let known = self.servers.get_mut(&server.id);
+        if let Some(known) = known.filter(|s| s.upstream.incarnation == server.incarnation) {
+            known.rest_until = Some(end);
+        }
+    }
+
+    /// Time until the first server ends its rest, if all of them rest.
+    pub fn rest_time(&self, now: Instant) -> Option<Duration> {
+        let servers = self.servers.values();
+        let ends: Option<Vec<Instant>> =
+            servers.map(|server| server.rest_until.filter(|end| *end > now)).collect();
+        ends?.into_iter().min().map(|end| end - now)
+    }
+
     /// Sets the bounds on requests to cold servers, by server.
     pub fn set_cold_limits(&mut self, limit: impl Fn(&Upstream) -> Option<ColdLimit>) {
         for server in self.servers.values_mut() {
@@ -93,6 +112,7 @@
             !tried.contains(&server.upstream.id)
                 && allowed(&server.upstream)
                 && server.gate.admits(now, 0)
+                && server.rest_until.is_none_or(|end| end <= now)
         });
         let costs = untried.map(|server| (server.cost(now, zone) + draw() * 0.05, server));
         let (_, server) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -129,6 +129,8 @@
     pub leaving: bool,
     /// Time for which the upstream reports that it is still cold.
     pub cold: Option<Duration>,
+    /// Time for which the upstream wants no further requests of this host.
+    pub rest: Option<Duration>,
     /// Whether the body has a content encoding; upstreams never apply one.
     pub encoded: bool,
 }
--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -331,19 +331,32 @@
 
 /// Sends a control request in the background; a failure is only logged.
 ///
-/// An engine in a data centre out of service gets none: what it holds expires by itself.
+/// An engine in a data centre out of service, or one that rests, gets none: what it holds expires by
+/// itself.
 fn send_detached(router: &Arc<Router>, engine: &Upstream, command: &EngineCommand<'_>) {
     if router.is_evacuated(&engine.zone) {
         log::debug!("call: not released at {}: {} is out of service", engine.id, engine.zone);
         return;
     }
+    if router.is_resting(Instant::now(), engine) {
+        log::debug!("call: not released at {}: it rests", engine.id);
+        return;
+    }
     let request = router.dialect.engine_command(&engine.id, command);
-    let (address, router) = (engine.address, router.clone());
+    let (engine, address, router) = (engine.clone(), engine.address, router.clone());
     let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
     runtime.spawn(async move {
         let sent = tokio::time::timeout(COMMAND_TIMEOUT, client::send_buffered(address, request));
         let outcome = match sent.await {
-            Ok(Ok(response)) => response.status().to_string(),
+            Ok(Ok(response)) => {
+                let (head, _) = response.into_parts();
+                router.observe_response(
+                    &engine,
+                    head.status,
+                    &router.dialect.parse_response(&head),
+                );
+                head.status.to_string()
+            }
             Ok(Err(error)) => error.to_string(),
             Err(_) => "silent".to_owned(),
         };
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -201,7 +201,7 @@
     let meta = router.dialect.parse_response(&head);
     let prefill_engine = cache.as_ref().map(|cache| cache.source.engine.clone());
     let class = plain::classify(&meta, &call.meta.attempt, head.status);
-    if class != ResponseClass::Mismatched {
+    if plain::is_about(class, &meta) {
         router.observe_response(&slot.engine, head.status, &meta);
     }
     match class {
--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -92,7 +92,9 @@
             if router.is_stopping() {
                 return stopping_refusal(router, call, request.required);
             }
-            Refusal::not_run(Cause::Busy).with_retry_after(retry_after(call, retry))
+            let rest = router.rest_delay(&call.service.name);
+            let retry = rest.unwrap_or_else(|| retry_after(call, retry));
+            Refusal::not_run(Cause::Busy).with_retry_after(retry)
         })?;
         let excluded = choice.excluded.as_ref() == Some(&engine.id);
         let mut slot = SlotGuard {
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -7,8 +7,8 @@
 //! [`pool`] queues, refuses and places model requests, [`balance`] selects servers of plain
 //! services, [`quota`] and [`budget`] enforce limits over all hosts, [`registry`] lists the
 //! upstreams, [`evacuation`] the data centres out of service, [`cold`] bounds what upstreams get
-//! after their start, [`homes`] says in which regions a request may be served, and [`health`]
-//! rates upstreams by the outcomes of their requests.
+//! after their start, [`homes`] says in which regions a request may be served, [`health`] rates
+//! upstreams by the outcomes of their requests, and [`rest`] lists those that want none for a time.
 //!
 //! [`byte_account`] and [`crowd`] bound what callers can make a host hold, whatever they send.
 //!
@@ -54,6 +54,7 @@
 pub mod registry;
 pub mod relay;
 pub mod remote_rows;
+pub mod rest;
 pub mod retry;
 pub mod router;
 pub mod serve;
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -256,7 +256,7 @@
     if let Some(response) = state.last_failure.take() {
         return Ok(Reply::Buffered(response));
     }
-    Err(final_refusal(call, state))
+    Err(final_refusal(router, call, state))
 }
 
 /// Whether a request that is sent now is forecast to end before this host stops.
@@ -291,7 +291,7 @@
     Refusal::not_run(Cause::Stopping).with_retry_after(retry)
 }
 
-fn final_refusal(call: &Call, state: &RetryState) -> Refusal {
+fn final_refusal(router: &Router, call: &Call, state: &RetryState) -> Refusal {
     let cause = match (state.ran, state.delivered) {
         _ if call.remaining(Instant::now()).is_zero() => Cause::Timeout,
         (Ran::Maybe, _) => Cause::UpstreamFailed,
@@ -300,7 +300,9 @@
     };
     let refusal = Refusal::new(cause, state.ran);
     if state.ran == Ran::No {
-        refusal.with_retry_after(BUSY_RETRY_AFTER.mul_f64(rand::random_range(0.7..1.6)))
+        let busy = || BUSY_RETRY_AFTER.mul_f64(rand::random_range(0.7..1.6));
+        let rest = router.rest_delay(&call.service.name);
+        refusal.with_retry_after(rest.unwrap_or_else(busy))
     } else {
         refusal
     }
@@ -348,6 +350,12 @@
     ResponseClass::Genuine
 }
 
+/// Whether a response tells something about the upstream that was asked. Of a refusal without an
+/// echo it is only known that it may rest.
+pub fn is_about(class: ResponseClass, meta: &ResponseMeta) -> bool {
+    class != ResponseClass::Mismatched || meta.rest.is_some() && meta.attempt.is_none()
+}
+
 /// Whether a status tells callers that the request has not run and never will.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/rosemarypitch-forward/src/plain/send.rs
+++ b/crates/rosemarypitch-forward/src/plain/send.rs
@@ -154,7 +154,7 @@
             .with_balancer(&call.service.name, |balancer| balancer.report(now, &upstream.id, load));
     }
     let class = classify(&meta, &call.meta.attempt, head.status);
-    if class != ResponseClass::Mismatched {
+    if super::is_about(class, &meta) {
         router.observe_response(upstream, head.status, &meta);
     }
     let exchange = Exchange { response: Response::new(body), connection };
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -220,6 +220,7 @@
                     row_prompts: Vec::new(),
                     speed: Speed::default(),
                     full_until: None,
+                    rest_until: None,
                     health: Health::default(),
                     region: self.regions.of_zone(&upstream.zone),
                     gate: ColdGate::default(),
@@ -229,6 +230,22 @@
         }
     }
 
+    /// Sends nothing to a run of an engine until `end`.
+    pub fn set_rest(&mut self, engine: &Upstream, end: Instant) {
+        let known = self.engines.get_mut(&engine.id);
+        if let Some(known) = known.filter(|e| e.upstream.incarnation == engine.incarnation) {
+            known.rest_until = Some(end);
+        }
+    }
+
+    /// Time until the first decode engine ends its rest, if all of them rest.
+    pub fn rest_time(&self, now: Instant) -> Option<Duration> {
+        let decode = self.engines.values().filter(|engine| engine.upstream.is_decode());
+        let ends: Option<Vec<Instant>> =
+            decode.map(|engine| engine.rest_until.filter(|end| *end > now)).collect();
+        ends?.into_iter().min().map(|end| end - now)
+    }
+
     /// Sets the bounds on requests to cold engines, by engine.
     pub fn set_cold_limits(&mut self, limit: impl Fn(&Upstream) -> Option<ColdLimit>) {
         for engine in self.engines.values_mut() {
@@ -243,13 +260,13 @@
     }
 
     /// Records that a placed request is sent to its engine now; false if it must not be, because
-    /// the engine has left or has become cold and got what it bears.
+    /// the engine has left, has asked for rest, or has become cold and got what it bears.
     pub fn start_decode(&mut self, now: Instant, engine: &Upstream, ticket: Ticket) -> bool {
         if !self.is_usable(engine) {
             return false;
         }
         let Some(engine) = self.engines.get_mut(&engine.id) else { return false };
-        if !engine.gate.admits(now, 0) {
+        if engine.is_resting(now) || !engine.gate.admits(now, 0) {
             return false;
         }
         engine.gate.record(now);
@@ -395,7 +412,10 @@
             return decisions;
         }
         if self.out_of_service {
-            return self.refuse_all();
+            return self.refuse_all(Duration::ZERO);
+        }
+        if let Some(rest) = self.rest_time(now) {
+            return self.refuse_all(rest);
         }
         self.demote(now);
         self.refuse_unfinished(now, &mut decisions);
@@ -405,9 +425,9 @@
     }
 
     /// Refuses all queued requests, which no engine will serve soon.
-    fn refuse_all(&mut self) -> Vec<Decision> {
+    fn refuse_all(&mut self, retry: Duration) -> Vec<Decision> {
         let queued = self.timely.drain(..).chain(self.late.drain(..));
-        queued.map(|request| Decision::Refuse(request.ticket, Duration::ZERO)).collect()
+        queued.map(|request| Decision::Refuse(request.ticket, retry)).collect()
     }
 
     /// Moves requests whose first event can no longer be on time to the late queue.
@@ -477,7 +497,7 @@
     /// Refuses the requests that are not forecast to be placed before they expire, or to end
     /// before this host stops.
     fn refuse(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
-        let drain = self.drain_rate();
+        let drain = self.drain_rate(now);
         let spare = (drain - self.demand.rate(now)).max(drain * MIN_LATE_FRACTION);
         let is_cut = |request: &SlotRequest, ahead: f64| {
             let wait = Duration::try_from_secs_f64(ahead / drain).unwrap_or(Duration::MAX / 2);
@@ -511,8 +531,9 @@
     }
 
     /// Forecast rate at which decode memory becomes free for this host, in tokens per second.
-    fn drain_rate(&self) -> f64 {
-        let decode = self.engines.values().filter(|engine| engine.upstream.is_decode());
+    fn drain_rate(&self, now: Instant) -> f64 {
+        let open = |engine: &&Engine| engine.upstream.is_decode() && !engine.is_resting(now);
+        let decode = self.engines.values().filter(open);
         let (engines, own, all) = decode.fold((0.0, 0, 0), |(count, own, all), engine| {
             (count + 1.0, own + engine.running.len(), all + engine.occupied_slots())
         });
@@ -606,6 +627,7 @@
         let engines = self.engines.iter().filter(|(id, engine)| {
             engine.upstream.stage == Some(Stage::Prefill)
                 && !engine.health.is_avoided(now)
+                && !engine.is_resting(now)
                 && engine.admits(now, regions)
                 && !tried.contains(id)
         });
--- a/crates/rosemarypitch-forward/src/pool/engine.rs
+++ b/crates/rosemarypitch-forward/src/pool/engine.rs
@@ -33,6 +33,8 @@
     pub speed: Speed,
     /// End of the pause after the engine refused a slot.
     pub full_until: Option<Instant>,
+    /// End of the rest that the engine has asked for.
+    pub rest_until: Option<Instant>,
     /// Recent outcomes of this host's requests.
     pub health: Health,
     /// Region of its data centre.
@@ -73,6 +75,12 @@
         self.upstream.is_decode()
             && !self.health.is_avoided(now)
             && self.full_until.is_none_or(|end| end <= now)
+            && !self.is_resting(now)
+    }
+
+    /// Whether the engine has asked for a rest that lasts.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.rest_until.is_some_and(|end| end > now)
     }
 
     /// Whether a request of callers with these homes may be chosen for the engine now.
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -33,6 +33,7 @@
 use crate::quarantine::{CrashRecord, Quarantine};
 use crate::quota::{self, Quota, QuotaRules, Share};
 use crate::registry::{self, Upstream, UpstreamRegistry};
+use crate::rest::Rests;
 use crate::snapshot::{Snapshot, SnapshotVersion};
 use crate::stop::StopTimes;
 use crate::tuning::PoolTuning;
@@ -45,6 +46,9 @@
 /// nor a peer with current state may be stale: one lost watch and a few retries.
 const STALENESS_MARGIN: Duration = Duration::from_millis(2_200);
 
+/// Shortest time over which callers come back after a rest.
+const MIN_REST_SPREAD: Duration = Duration::from_millis(500);
+
 /// Settings of a router.
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
@@ -132,6 +136,7 @@
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
     quarantine: Mutex<Quarantine>,
     crash_change: Notify,
+    rests: Mutex<Rests>,
     /// Upstreams that leave, of which the neighbours have not been told.
     departures: Mutex<Vec<(Arc<str>, u64)>>,
     departed: Notify,
@@ -196,6 +201,7 @@
             budgets: Mutex::default(),
             quarantine: Mutex::default(),
             crash_change: Notify::new(),
+            rests: Mutex::default(),
             departures: Mutex::default(),
             departed: Notify::new(),
             limits,
@@ -520,8 +526,8 @@
         homes.allows(self.settings.regions.of_zone(&upstream.zone))
     }
 
-    /// Stops to use an upstream if a response of it says that it leaves, and sends few requests to
-    /// one that says that it is cold.
+    /// Stops to use an upstream if a response of it says that it leaves or asks for rest, and sends
+    /// few requests to one that says that it is cold.
     ///
     /// A response for another upstream's identifier comes from a later user of the address.
     pub fn observe_response(&self, upstream: &Upstream, status: StatusCode, meta: &ResponseMeta) {
@@ -537,12 +543,45 @@
                 self.apply_upstreams(now);
             }
         }
+        if let Some(time) = meta.rest {
+            self.start_rest(Instant::now(), upstream, time);
+        }
         if meta.leaving && self.mark_leaving(Instant::now(), id, incarnation, "response") {
             lock(&self.departures).push((id.clone(), incarnation));
             self.departed.notify_one();
         }
     }
 
+    fn start_rest(&self, now: Instant, upstream: &Upstream, time: Duration) {
+        let Some(end) = lock(&self.rests).record(now, upstream, time) else { return };
+        log::info!(
+            "control: upstream rests upstream={} service={} rest_ms={}",
+            upstream.id,
+            upstream.service,
+            (end - now).as_millis(),
+        );
+        self.metrics.count_send("rest", "asked");
+        self.with_pool(&upstream.service, |pool| pool.set_rest(upstream, end));
+        self.with_balancer(&upstream.service, |balancer| balancer.set_rest(upstream, end));
+        self.dispatch(now);
+    }
+
+    /// Whether an upstream has asked for a rest that lasts.
+    pub fn is_resting(&self, now: Instant, upstream: &Upstream) -> bool {
+        lock(&self.rests).end(now, upstream).is_some()
+    }
+
+    /// Delay after which a caller may retry, if all upstreams of a service rest until then.
+    pub fn rest_delay(&self, service: &str) -> Option<Duration> {
+        let now = Instant::now();
+        let rest = self.with_pool(service, |pool| pool.rest_time(now)).flatten();
+        let balancer = |balancer: &mut Balancer| balancer.rest_time(now);
+        let rest = rest.or_else(|| self.with_balancer(service, balancer).flatten())?;
+        // Callers that come back at once would make the first upstream rest again.
+        let spread = (rest / 4).max(MIN_REST_SPREAD);
+        Some(rest + spread.mul_f64(rand::random_range(0.0..1.0)))
+    }
+
     /// Waits for upstreams that have said in a response that they leave, to tell the neighbours:
     /// their identifiers and incarnations.
     pub async fn next_departures(&self) -> Vec<(Arc<str>, u64)> {
@@ -596,6 +635,7 @@
             evacuated.map(|upstream| upstream.service.clone()).collect();
         drop(registry);
         self.metrics.set_gauge("cold_upstreams", cold.len() as u64);
+        let rests = lock(&self.rests).clone();
         let layout = lock(&self.layout).clone();
         let hosts = self.share().hosts;
         for (name, service) in &config.services {
@@ -620,6 +660,7 @@
                     };
                     let pool = pools.pools.entry(name.clone()).or_insert_with(create);
                     pool.set_engines(&list, size, hosts);
+                    rests.each(now, &list, |engine, end| pool.set_rest(engine, end));
                     let served = list.iter().any(|engine| engine.is_decode());
                     pool.set_out_of_service(!served && evacuated.contains(name));
                     // A service may be added while the host stops.
@@ -631,6 +672,7 @@
                     let mut balancers = lock(&self.balancers);
                     let balancer = balancers.entry(name.clone()).or_default();
                     balancer.set_servers(&list);
+                    rests.each(now, &list, |server, end| balancer.set_rest(server, end));
                     balancer.set_cold_limits(cold_limit);
                 }
             }
