Streams go on only at the software version that began them

Callers saw: one stream with events of two versions (ORDER), inside an answer and over a caller's tries, most after all hosts were killed; or take-ups refused (LOST).

Cause: an upstream's version was decoded and dropped, so any upstream could take over a stream that broke off (H1), any could get a take-up (H2, H3), and a prompt's KV cache went from one version to another (H4). The class is state of a request that outlives the host that has it.

The version of a stream is known from the host that began it, from its record in the store, or because the service has a sole version. Records are written only while there is none, many in one call; no host uses another version before the store has acknowledged that there is none any more. Watches that are woken by records alone restart after 100 ms.

--- a/crates/rosemarypitch-forward/src/config.rs
+++ b/crates/rosemarypitch-forward/src/config.rs
@@ -4,7 +4,7 @@
 //! snapshot. A request keeps the snapshot that it was matched against, and reads the current
 //! one again after it has waited.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +30,13 @@
 }
 
 impl ConfigSnapshot {
+    /// Services that have streams which another upstream can resume.
+    pub fn resumable_services(&self) -> BTreeSet<Arc<str>> {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.kind == RouteKind::Stream { resumable: true });
+        resumable.flat_map(|route| route.split.iter().map(|(name, _)| name.clone())).collect()
+    }
+
     /// Returns the route with the longest prefix of `path` under a host name.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -35,7 +35,8 @@
 /// Lower bound on the timeout of a watch, since each watch is a call to the store.
 const MIN_WATCH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Delay before the next watch after a change, in which further changes are batched: they
-/// come in series, and every host starts a new watch after each result.
+/// come in series, and every host starts a new watch after each result. Changes that are no updates,
+/// such as records of streams, end a watch too.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Duration of a full read of the store after which a host also requests state from its peers.
 const SLOW_READ_TIME: Duration = Duration::from_millis(700);
@@ -136,6 +137,8 @@
         let (evacuated, rest): (Vec<Update>, Vec<Update>) =
             rest.into_iter().partition(|update| matches!(update, Update::Evacuated(_)));
         let evacuated = evacuated.into_iter().filter_map(evacuated_zone).collect();
+        // What the list says of versions belongs to its era.
+        self.router.enter_era(entries.position.era);
         let hosts: Vec<Arc<str>> = rest.iter().filter_map(host_name).collect();
         for update in rest {
             self.apply(now, update);
@@ -225,7 +228,7 @@
                     self.apply_batch(now, updates, age);
                     self.router.set_position(self.position);
                     self.router.update_readiness(Instant::now());
-                    if received {
+                    if received || now - start < wait {
                         tokio::time::sleep(BATCH_DELAY).await;
                     }
                 }
@@ -328,6 +331,7 @@
             | Update::EvacuationEnded(_) => {
                 self.router.update_registry(now, |registry| apply_upstream(now, registry, update));
             }
+            Update::Version(service, stored) => self.router.set_version(&service, stored),
             Update::Host(host, entry) => self.gossip.put_host(host, &entry),
             Update::HostRemoved(host) => self.gossip.remove_host(&host),
             Update::Secret(secret) => {
@@ -402,7 +406,11 @@
         Update::EvacuationEnded(zone) => {
             registry.evacuations.end(now, &zone);
         }
-        Update::Config(_) | Update::Host(..) | Update::HostRemoved(_) | Update::Secret(_) => {}
+        Update::Config(_)
+        | Update::Host(..)
+        | Update::HostRemoved(_)
+        | Update::Secret(_)
+        | Update::Version(..) => {}
     }
 }
 
--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -16,6 +16,7 @@
 
 use crate::config::ConfigSnapshot;
 use crate::registry::Upstream;
+use crate::versions::{StoredVersion, StreamRecord, StreamVersion, VersionChange};
 
 /// Largest token count of one request, so that the sums over many requests do not overflow.
 pub const MAX_TOKENS: u64 = 1 << 40;
@@ -33,6 +34,15 @@
     pub tokens: Option<Tokens>,
     /// Parts of the prompt that other requests may share, in order.
     pub parts: Vec<Arc<str>>,
+    /// Stream that this attempt takes up, if it does.
+    pub takeup: Option<TakeUp>,
+}
+
+/// A stream that a caller takes up after its connection broke.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TakeUp {
+    /// Attempt that brought the first event, if the caller names it.
+    pub first: Option<Arc<str>>,
 }
 
 /// Token counts of a model request.
@@ -247,6 +257,8 @@
     Evacuated(Arc<str>),
     /// Operators returned this data centre to service.
     EvacuationEnded(Arc<str>),
+    /// The entry of a service's sole version was written.
+    Version(Arc<str>, StoredVersion),
 }
 
 /// Position in the history of the store.
@@ -295,4 +307,23 @@
 
     /// Proposes the secret shared by all hosts; the first proposal wins.
     fn propose_secret<'a>(&'a self, secret: &'a str) -> DirectoryCall<'a, ()>;
+
+    /// Changes the entry of a service's sole version, if its revision is still the expected one;
+    /// returns the entry as it is then.
+    fn change_version<'a>(&'a self, change: &'a VersionChange) -> DirectoryCall<'a, StoredVersion>;
+
+    /// Records which versions began streams, until the lease expires; returns false if it has.
+    fn record_streams<'a>(
+        &'a self,
+        records: &'a [StreamRecord],
+        lease: u64,
+    ) -> DirectoryCall<'a, bool>;
+
+    /// Reads what is known now of the version that began a stream of a service; `attempt` is the
+    /// one that brought its first event, if the caller has named it.
+    fn stream_version<'a>(
+        &'a self,
+        service: &'a str,
+        attempt: Option<&'a str>,
+    ) -> DirectoryCall<'a, StreamVersion>;
 }
--- a/crates/rosemarypitch-forward/src/generate.rs
+++ b/crates/rosemarypitch-forward/src/generate.rs
@@ -32,6 +32,7 @@
 use crate::relay::{self, OpenStream, ResponseBody, Stream};
 use crate::retry::{Denial, RetryPermit};
 use crate::router::Router;
+use crate::takeup;
 
 use crash::PendingCheck;
 use decode::DecodeFailure;
@@ -50,9 +51,14 @@
     router: &Arc<Router>,
     call: &Arc<Call>,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let mut state = RetryState::default();
+    let version = takeup::version(router, call).await?;
+    let mut state = RetryState { version, ..RetryState::default() };
     let opened = open_stream(router, call, &mut state, None, None).await?;
     let resumable = call.route.kind.may_run_again() && opened.head.status.is_success();
+    if resumable {
+        state.version = Some(opened.upstream.version.clone());
+        takeup::begin(router, call, &opened.upstream).await;
+    }
     let policy = resumable.then(|| resume::policy(router, call, state));
     let body = |segment| Stream::relay(segment, call.deadline, policy);
     Ok(relay::response(router, opened, body))
@@ -78,6 +84,8 @@
     same_engine: bool,
     /// Check of the engine whose stream broke last.
     crash_check: PendingCheck,
+    /// Software version that began the stream; none before its start.
+    version: Option<Arc<str>>,
 }
 
 impl Default for RetryState {
@@ -92,6 +100,7 @@
             last_engine: None,
             same_engine: false,
             crash_check: PendingCheck::default(),
+            version: None,
         }
     }
 }
@@ -180,7 +189,8 @@
             Some(prepared) => Ok(prepared),
             None => {
                 let last_engine = state.last_engine.clone().filter(|_| !state.same_engine);
-                let choice = EngineChoice { first: last_engine, excluded: None };
+                let version = state.version.clone();
+                let choice = EngineChoice { first: last_engine, excluded: None, version };
                 prepare(router, call, state, after, choice, permit.take()).await
             }
         };
@@ -237,6 +247,8 @@
     first: Option<Arc<str>>,
     /// Engine that is not used.
     excluded: Option<Arc<str>>,
+    /// Software version of the engines that can go on with the stream.
+    version: Option<Arc<str>>,
 }
 
 /// Reserves a slot at an engine and prefills the prompt.
@@ -267,17 +279,16 @@
     state.placements += 1;
     state.same_engine = choice.first.as_ref() == Some(&slot.engine.id);
     state.last_engine = Some(slot.engine.id.clone());
-    let cache = if state.same_engine {
-        None
-    } else {
-        prefill::prefill(router, call, state, slot.ticket).await?
-    };
+    let cache =
+        if state.same_engine { None } else { prefill::prefill(router, call, state, &slot).await? };
     crash::refuse_culprit(router, call)?;
     while !router.start_decode(&slot.engine, slot.ticket) {
         slot = replace_slot(router, call, state, after, &choice, slot).await?;
     }
     // A decode engine would fetch the cache from a data centre to which nothing is sent any more.
     let cache = cache.filter(|cache| !router.is_evacuated(&cache.engine.zone));
+    // Another version cannot read it.
+    let cache = cache.filter(|cache| cache.engine.version == slot.engine.version);
     Ok(Prepared { slot, cache, permit })
 }
 
@@ -297,7 +308,7 @@
         let refusal = Refusal::not_run(Cause::Busy).with_retry_after(jitter(FAILED_RETRY_AFTER));
         return Err(refusal.into());
     }
-    let choice = EngineChoice { first: None, excluded: choice.excluded.clone() };
+    let choice = EngineChoice { first: None, ..choice.clone() };
     let slot = slot::acquire(router, call, true, after, &choice).await?;
     log::info!(
         "call: moved attempt={} engine={} from={left} hold={} ticket={}",
--- a/crates/rosemarypitch-forward/src/generate/decode.rs
+++ b/crates/rosemarypitch-forward/src/generate/decode.rs
@@ -200,6 +200,7 @@
     let (head, body) = exchange.response.into_parts();
     let meta = router.dialect.parse_response(&head);
     let prefill_engine = cache.as_ref().map(|cache| cache.source.engine.clone());
+    let upstream = slot.engine.clone();
     let class = plain::classify(&meta, &call.meta.attempt, head.status);
     if plain::is_about(class, &meta) {
         router.observe_response(&slot.engine, head.status, &meta);
@@ -244,7 +245,7 @@
         finish_stream(slot, end, events, success);
     };
     let segment = Segment::new(&head, body, exchange.connection, on_events, on_end);
-    Ok(OpenStream { head, segment })
+    Ok(OpenStream { head, segment, upstream })
 }
 
 /// Handles an engine that refused to run a request in spite of its reservation. Usually the
--- a/crates/rosemarypitch-forward/src/generate/prefill.rs
+++ b/crates/rosemarypitch-forward/src/generate/prefill.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::crash;
+use super::slot::SlotGuard;
 use super::{RetryState, build_request, send_detached, timeout_refusal};
 use crate::call::Call;
 use crate::client;
@@ -53,8 +54,9 @@
     router: &Arc<Router>,
     call: &Arc<Call>,
     state: &mut RetryState,
-    ticket: Ticket,
+    slot: &SlotGuard,
 ) -> Result<Option<KvCache>, Refusal> {
+    let (ticket, version) = (slot.ticket, &slot.engine.version);
     let prompt = call.tokens().prompt;
     let mut tried = state.lost_caches.clone();
     for round in 0..MAX_PREFILLS {
@@ -73,7 +75,7 @@
         let mut unspent = Some(permit);
         let chosen = router
             .with_pool(&call.service.name, |pool| {
-                pool.start_prefill(now, ticket, prompt, call.regions, &tried)
+                pool.start_prefill(now, ticket, prompt, call.regions, version, &tried)
             })
             .flatten();
         let Some(engine) = chosen else { return Ok(None) };
--- a/crates/rosemarypitch-forward/src/generate/resume.rs
+++ b/crates/rosemarypitch-forward/src/generate/resume.rs
@@ -65,7 +65,7 @@
         let permit = state.may_retry(router, call, Progress::Delivered);
         let permit = permit.map_err(|denial| denial.name())?;
         let first = state.last_engine.clone().filter(|_| !state.same_engine);
-        let choice = EngineChoice { first, excluded: None };
+        let choice = EngineChoice { first, excluded: None, version: state.version.clone() };
         let prepared = prepare(router, call, state, Some(position), choice, permit).await;
         prepared.map_err(|failure| failure.refusal.cause.name())
     }
@@ -104,7 +104,8 @@
             pool.record_outcome(now, silent, Outcome::Unreachable);
         });
     }
-    let choice = EngineChoice { first: None, excluded: silent };
+    let version = state.version.clone();
+    let choice = EngineChoice { first: None, excluded: silent, version };
     let prepared = prepare(router, call, state, after, choice, permit).await;
     prepared.map_err(|failure| failure.refusal.cause.name())
 }
--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -80,13 +80,14 @@
     choice: &EngineChoice,
 ) -> Result<SlotGuard, Refusal> {
     let mut request = placement_request(router, call, requeued, after);
+    request.version = choice.version.clone();
     let mut first = choice.first.as_ref().filter(|_| after.is_some());
     for _ in 0..MAX_RESERVE_ATTEMPTS {
         let preferred =
-            first.take().and_then(|id| router.place_at(&call.service.name, id, request));
+            first.take().and_then(|id| router.place_at(&call.service.name, id, request.clone()));
         let placed = match preferred {
             Some(placed) => Ok(placed),
-            None => router.place(&call.service.name, request).await,
+            None => router.place(&call.service.name, request.clone()).await,
         };
         let Placement { ticket, engine } = placed.map_err(|retry| {
             if router.is_stopping() {
@@ -170,8 +171,13 @@
         due: call.start + call.route.target.saturating_sub(age),
         expires: (call.start + wait).min(call.deadline),
         requeued,
+        version: None,
+    };
+    let Some(position) = after else {
+        // The caller has lost its stream if it cannot go on now.
+        let cost = if call.meta.takeup.is_some() { 0.0 } else { estimate.cost };
+        return PlacementRequest { estimate: Estimate { cost, ..estimate }, ..request };
     };
-    let Some(position) = after else { return request };
     // A stream that is being resumed takes precedence over all that have not started.
     let event_tokens = call.service.engine.map_or(1, |size| size.event_tokens);
     let generated = position.events * event_tokens;
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -10,6 +10,9 @@
 //! after their start, [`homes`] says in which regions a request may be served, [`health`] rates
 //! upstreams by the outcomes of their requests, and [`rest`] lists those that want none for a time.
 //!
+//! [`versions`] says at which software version of its upstreams a stream may go on, and [`takeup`]
+//! records that in the store.
+//!
 //! [`byte_account`] and [`crowd`] bound what callers can make a host hold, whatever they send.
 //!
 //! [`peer_table`], [`remote_rows`], [`layout`] and [`counters`] hold the state that hosts
@@ -60,7 +63,9 @@
 pub mod serve;
 pub mod snapshot;
 pub mod stop;
+pub mod takeup;
 pub mod tuning;
+pub mod versions;
 pub mod watchers;
 
 pub use router::{LimitSettings, Router, RouterSettings};
--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -25,6 +25,7 @@
 };
 use crate::retry::{Denial, RetryPermit};
 use crate::router::{Router, StopPhase};
+use crate::takeup;
 
 use send::{InFlight, SendOutcome};
 
@@ -38,11 +39,14 @@
     router: &Arc<Router>,
     call: &Arc<Call>,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let mut state = RetryState::default();
+    let version = takeup::version(router, call).await?;
+    let mut state = RetryState { version, ..RetryState::default() };
     match try_upstreams(router, call, &mut state, None, None).await? {
         Reply::Buffered(response) => Ok(caller_response(router, response)),
         Reply::Stream(opened) => {
             let resumable = call.route.kind.may_run_again();
+            state.version = Some(opened.upstream.version.clone());
+            takeup::begin(router, call, &opened.upstream).await;
             let policy = resumable.then(|| resume_policy(router, call, state));
             let response = relay::response(router, opened, |segment| {
                 Stream::relay(segment, call.deadline, policy)
@@ -112,6 +116,8 @@
     unreachable: u32,
     /// Latest error response, for the caller if no other server succeeds.
     last_failure: Option<Response<Bytes>>,
+    /// Software version that began the stream; none before its start.
+    version: Option<Arc<str>>,
 }
 
 impl Default for RetryState {
@@ -124,6 +130,7 @@
             possible_runs: 0,
             unreachable: 0,
             last_failure: None,
+            version: None,
         }
     }
 }
@@ -152,7 +159,7 @@
     /// Chooses the server for another attempt.
     fn next_server(&self, router: &Arc<Router>, call: &Call) -> Result<Chosen, Denial> {
         let permit = self.may_retry(router, call)?;
-        let server = choose_server(router, call, &self.tried).ok_or(Denial::NoUpstream)?;
+        let server = choose_server(router, call, self).ok_or(Denial::NoUpstream)?;
         Ok(Chosen { server, permit })
     }
 
@@ -203,7 +210,7 @@
     first: Option<Chosen>,
 ) -> Result<Reply, Refusal> {
     let choose_first = || {
-        let server = choose_server(router, call, &state.tried)?;
+        let server = choose_server(router, call, state)?;
         Some(Chosen { server, permit: None })
     };
     let mut next = first.or_else(choose_first);
@@ -308,12 +315,15 @@
     }
 }
 
-fn choose_server(router: &Arc<Router>, call: &Call, tried: &[Arc<str>]) -> Option<InFlight> {
+fn choose_server(router: &Arc<Router>, call: &Call, state: &RetryState) -> Option<InFlight> {
     let now = Instant::now();
     let zone = &router.settings.zone;
     let chosen = router.with_balancer(&call.service.name, |balancer| {
-        let allowed = |server: &Upstream| router.is_home(server, call.regions);
-        balancer.choose(now, zone, tried, allowed, || rand::random_range(0.0..1.0))
+        let allowed = |server: &Upstream| {
+            let fits = state.version.as_ref().is_none_or(|version| *version == server.version);
+            fits && router.is_home(server, call.regions)
+        };
+        balancer.choose(now, zone, &state.tried, allowed, || rand::random_range(0.0..1.0))
     });
     Some(InFlight::new(router, call, chosen.flatten()?))
 }
--- a/crates/rosemarypitch-forward/src/plain/send.rs
+++ b/crates/rosemarypitch-forward/src/plain/send.rs
@@ -187,6 +187,7 @@
         }
         ReceivedBody::Stream(exchange) => {
             let attempt = call.meta.attempt.clone();
+            let upstream = in_flight.upstream.clone();
             let on_end = move |end, events| {
                 log::info!(
                     "call: stream ended attempt={attempt} upstream={} end={end:?} events={events}",
@@ -202,7 +203,7 @@
             };
             let Exchange { response, connection } = exchange;
             let segment = Segment::new(&head, response.into_body(), connection, |_| {}, on_end);
-            SendOutcome::Stream(OpenStream { head, segment })
+            SendOutcome::Stream(OpenStream { head, segment, upstream })
         }
     }
 }
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -59,7 +59,7 @@
 pub type Ticket = u64;
 
 /// A request for a decode slot.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct SlotRequest {
     /// Identifier of the request.
     pub ticket: Ticket,
@@ -79,9 +79,16 @@
     pub due: Instant,
     /// When the caller times out without a first event.
     pub expires: Instant,
+    /// Software version of the engines that can serve it; none if all can.
+    pub version: Option<Arc<str>>,
 }
 
 impl SlotRequest {
+    /// Whether an engine has a version that can serve the request.
+    fn fits(&self, engine: &Engine) -> bool {
+        self.version.as_ref().is_none_or(|version| *version == engine.upstream.version)
+    }
+
     /// Memory that the request occupies on average over its run, in tokens.
     fn mean_memory(&self) -> u64 {
         self.prompt + self.output / 2
@@ -253,6 +260,11 @@
         }
     }
 
+    /// Number of usable engines.
+    pub fn engine_count(&self) -> usize {
+        self.engines.len()
+    }
+
     /// Whether a run of an engine is among the usable ones.
     pub fn is_usable(&self, engine: &Upstream) -> bool {
         let known = self.engines.get(&engine.id);
@@ -418,6 +430,7 @@
             return self.refuse_all(rest);
         }
         self.demote(now);
+        self.refuse_unfit(&mut decisions);
         self.refuse_unfinished(now, &mut decisions);
         self.place(now, &mut decisions);
         self.refuse(now, &mut decisions);
@@ -467,15 +480,35 @@
 
     fn place(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
         // The head of the queue blocks until it fits. Otherwise small requests could starve
-        // a large one for as long as they arrive.
-        while let Some(request) = self.timely.first().or(self.late.first()).copied() {
-            let Some(id) = self.best_decode_engine(now, &request) else { return };
+        // a large one for as long as they arrive. One that waits for engines of its version does
+        // not hold up the others.
+        let mut index = 0;
+        while let Some(request) = self.timely.iter().chain(&self.late).nth(index).cloned() {
+            let Some(id) = self.best_decode_engine(now, &request) else {
+                if request.version.is_none() {
+                    return;
+                }
+                index += 1;
+                continue;
+            };
             let Some(engine) = self.engines.get_mut(&id) else { return };
             engine.running.insert(request.ticket, Running::new(&request));
             decisions.push(Decision::Place(request.ticket, engine.upstream.clone()));
             self.in_use.insert(id);
-            let queue = if self.timely.is_empty() { &mut self.late } else { &mut self.timely };
-            queue.remove(0);
+            self.cancel(request.ticket);
+        }
+    }
+
+    /// Refuses the requests whose version no engine has.
+    fn refuse_unfit(&mut self, decisions: &mut Vec<Decision>) {
+        let queued = self.timely.iter().chain(&self.late);
+        let unfit = queued.filter(|request| {
+            let mut decode = self.engines.values().filter(|engine| engine.upstream.is_decode());
+            request.version.is_some() && !decode.any(|engine| request.fits(engine))
+        });
+        for ticket in unfit.map(|request| request.ticket).collect::<Vec<_>>() {
+            self.cancel(ticket);
+            decisions.push(Decision::Refuse(ticket, Duration::ZERO));
         }
     }
 
@@ -584,7 +617,8 @@
         let memory = self.usable_memory() as u64;
         let costs = engines.filter_map(|(id, engine)| {
             let full = engine.occupied_slots() >= self.size.slots as usize;
-            if !engine.is_open(now) || full || !engine.admits(now, request.regions) {
+            let admitted = engine.admits(now, request.regions) && request.fits(engine);
+            if !engine.is_open(now) || full || !admitted {
                 return None;
             }
             let peak = engine.peak(request);
@@ -614,14 +648,15 @@
         zone_cost + if preferred { 0.0 } else { self.tuning.foreign_cost }
     }
 
-    /// Chooses the prefill engine that is expected to finish the prompt of a placed request first
-    /// and is not in `tried`, and adds the prompt to its backlog.
+    /// Chooses the prefill engine of a version that is expected to finish the prompt of a placed
+    /// request first and is not in `tried`, and adds the prompt to its backlog.
     pub fn start_prefill(
         &mut self,
         now: Instant,
         ticket: Ticket,
         prompt: u64,
         regions: RegionSet,
+        version: &str,
         tried: &[Arc<str>],
     ) -> Option<Arc<Upstream>> {
         let engines = self.engines.iter().filter(|(id, engine)| {
@@ -629,6 +664,7 @@
                 && !engine.health.is_avoided(now)
                 && !engine.is_resting(now)
                 && engine.admits(now, regions)
+                && engine.upstream.version.as_ref() == version
                 && !tried.contains(id)
         });
         let mean = self.mean_prefill_speed();
--- a/crates/rosemarypitch-forward/src/refusal.rs
+++ b/crates/rosemarypitch-forward/src/refusal.rs
@@ -46,6 +46,8 @@
     Quarantined,
     /// The bodies of callers take all memory that this host has for them.
     Crowded,
+    /// A stream is taken up, and no version is known to have begun it.
+    UnknownVersion,
 }
 
 impl Cause {
@@ -67,6 +69,7 @@
             Self::Internal => "internal",
             Self::Quarantined => "quarantined",
             Self::Crowded => "crowded",
+            Self::UnknownVersion => "unknown_version",
         }
     }
 }
--- a/crates/rosemarypitch-forward/src/registry.rs
+++ b/crates/rosemarypitch-forward/src/registry.rs
@@ -13,7 +13,7 @@
 //!
 //! Upstreams in a data centre that operators have taken out of service get none either.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,6 +54,8 @@
     pub stage: Option<Stage>,
     /// Time for which it was still cold when its entry was written.
     pub cold: Duration,
+    /// Version of its software.
+    pub version: Arc<str>,
 }
 
 impl Upstream {
@@ -252,6 +254,16 @@
         self.all().filter(|upstream| self.evacuations.contains(&upstream.zone))
     }
 
+    /// Versions of all upstreams, by service.
+    pub fn versions(&self) -> BTreeMap<Arc<str>, BTreeSet<Arc<str>>> {
+        let mut versions: BTreeMap<Arc<str>, BTreeSet<Arc<str>>> = BTreeMap::new();
+        for upstream in self.all() {
+            let known = versions.entry(upstream.service.clone()).or_default();
+            known.insert(upstream.version.clone());
+        }
+        versions
+    }
+
     /// Upstreams that accept new requests.
     pub fn usable(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.all().filter(|upstream| {
--- a/crates/rosemarypitch-forward/src/relay.rs
+++ b/crates/rosemarypitch-forward/src/relay.rs
@@ -13,6 +13,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -28,6 +29,7 @@
 use crate::config::Route;
 use crate::events::{EventFramer, Position};
 use crate::refusal::Refusal;
+use crate::registry::Upstream;
 use crate::router::Router;
 
 /// Lower bound on the time after which callers abandon a silent stream.
@@ -151,6 +153,8 @@
     pub head: response::Parts,
     /// Body of the response.
     pub segment: Segment,
+    /// Upstream that sends it.
+    pub upstream: Arc<Upstream>,
 }
 
 impl OpenStream {
@@ -175,7 +179,7 @@
     opened: OpenStream,
     body: impl FnOnce(Segment) -> ResponseBody,
 ) -> Response<ResponseBody> {
-    let OpenStream { head, segment } = opened;
+    let OpenStream { head, segment, .. } = opened;
     let mut response = Response::new(body(segment));
     *response.status_mut() = head.status;
     *response.headers_mut() = router.dialect.response_headers(&head);
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -37,6 +37,9 @@
 use crate::snapshot::{Snapshot, SnapshotVersion};
 use crate::stop::StopTimes;
 use crate::tuning::PoolTuning;
+use crate::versions::{
+    StoredVersion, StreamLog, StreamRecord, StreamVersion, VersionChange, Versions,
+};
 use crate::watchers::{self, RelayedUpdates, UpdateLog};
 
 use placement::Pools;
@@ -137,6 +140,13 @@
     quarantine: Mutex<Quarantine>,
     crash_change: Notify,
     rests: Mutex<Rests>,
+    versions: Mutex<Versions>,
+    version_change: Notify,
+    streams: Mutex<StreamLog>,
+    /// Notified when streams have to be recorded.
+    stream_change: Notify,
+    /// Notified when streams have been recorded.
+    stream_recorded: Notify,
     /// Upstreams that leave, of which the neighbours have not been told.
     departures: Mutex<Vec<(Arc<str>, u64)>>,
     departed: Notify,
@@ -202,6 +212,11 @@
             quarantine: Mutex::default(),
             crash_change: Notify::new(),
             rests: Mutex::default(),
+            versions: Mutex::default(),
+            version_change: Notify::new(),
+            streams: Mutex::default(),
+            stream_change: Notify::new(),
+            stream_recorded: Notify::new(),
             departures: Mutex::default(),
             departed: Notify::new(),
             limits,
@@ -266,6 +281,7 @@
                 *lock(&self.unproven_until) = Some(Instant::now() + registry::REREGISTER_TIME);
             }
         }
+        self.enter_era(position.era);
         self.position.send_if_modified(|known| {
             let later = position > *known;
             *known = position.max(*known);
@@ -273,6 +289,15 @@
         });
         self.metrics.set_gauge("revision", position.revision);
         self.metrics.set_gauge("store_era", position.era);
+        if position.era > old.era {
+            self.version_change.notify_one();
+            self.stream_change.notify_one();
+        }
+    }
+
+    /// Enters an era of the store, in which the sole versions of earlier ones do not count.
+    pub fn enter_era(&self, era: u64) {
+        lock(&self.versions).enter_era(era);
     }
 
     /// Whether the store may lack a configuration that it has acknowledged, since it was restored
@@ -364,12 +389,16 @@
         let upstreams = registry.all().map(|upstream| upstream.as_ref().clone()).collect();
         let evacuated = registry.evacuations.zones().cloned().collect();
         drop(registry);
+        let versions = lock(&self.versions);
+        let versions = versions.stored().map(|(name, stored)| (name.clone(), stored.clone()));
+        let versions = versions.collect();
         // Also sent if nothing is newer: it confirms to the peer that its state is current.
         Some(Snapshot {
             position,
             config,
             upstreams,
             evacuated,
+            versions,
             age_ms: age.as_millis() as u64,
             direct: !self.is_store_lost(),
         })
@@ -405,6 +434,9 @@
             });
             self.set_position(snapshot.position);
         }
+        for (service, stored) in snapshot.versions {
+            self.set_version(&service, stored);
+        }
         self.mark_current(asked.checked_sub(age).unwrap_or(self.started));
     }
 
@@ -502,11 +534,94 @@
         now: Instant,
         change: impl FnOnce(&mut UpstreamRegistry) -> T,
     ) -> T {
-        let result = change(&mut lock(&self.registry));
+        let mut registry = lock(&self.registry);
+        let result = change(&mut registry);
+        let registered = registry.versions();
+        drop(registry);
+        lock(&self.versions).set_registered(now, registered);
+        self.version_change.notify_one();
         self.apply_upstreams(now);
         result
     }
 
+    /// Waits until what is known of the versions of upstreams may have changed.
+    pub async fn versions_changed(&self) {
+        self.version_change.notified().await;
+    }
+
+    /// Changes of the services' sole versions that this host has to make now.
+    pub fn version_changes(&self, now: Instant) -> Vec<VersionChange> {
+        let Some(config) = self.config().filter(|_| !self.is_store_lost()) else {
+            return Vec::new();
+        };
+        let (versions, first) = (lock(&self.versions), self.settings.first_start);
+        let services = config.resumable_services();
+        services.iter().filter_map(|service| versions.next_change(now, service, first)).collect()
+    }
+
+    /// Applies the store's entry of a service's sole version.
+    pub fn set_version(&self, service: &Arc<str>, stored: StoredVersion) {
+        lock(&self.versions).set_stored(service, stored);
+        self.version_change.notify_one();
+        self.stream_change.notify_one();
+        self.apply_upstreams(Instant::now());
+    }
+
+    /// Notes a stream that begins; true if it has to be recorded.
+    pub fn begin_stream(&self, now: Instant, service: &Arc<str>, record: StreamRecord) -> bool {
+        let due = lock(&self.versions).must_record(service, &record.version);
+        lock(&self.streams).begin(now, service, record);
+        if due {
+            self.stream_change.notify_one();
+        }
+        due
+    }
+
+    /// Streams that have to be recorded.
+    pub fn pending_streams(&self, now: Instant) -> Vec<StreamRecord> {
+        let versions = lock(&self.versions);
+        lock(&self.streams).pending(now, &versions)
+    }
+
+    /// Waits until streams may have to be recorded.
+    pub async fn streams_changed(&self) {
+        self.stream_change.notified().await;
+    }
+
+    /// Marks streams as recorded in an era of the store.
+    pub fn mark_recorded(&self, records: &[StreamRecord], era: u64) {
+        lock(&self.streams).mark(records, era);
+        self.stream_recorded.notify_waiters();
+    }
+
+    /// Waits until a stream has been recorded.
+    pub async fn stream_recorded(&self, attempt: &str) {
+        loop {
+            let recorded = self.stream_recorded.notified();
+            let era = self.store_position().position.era;
+            if lock(&self.streams).is_recorded(attempt, era) {
+                return;
+            }
+            recorded.await;
+        }
+    }
+
+    /// Version of a stream that this host has begun.
+    pub fn own_stream(&self, attempt: &str) -> Option<Arc<str>> {
+        lock(&self.streams).version(attempt).cloned()
+    }
+
+    /// Version that began a stream of a service by what the store says of it.
+    pub fn resolve_stream(&self, service: &str, stored: StreamVersion) -> Option<Arc<str>> {
+        stored.resolve(&lock(&self.versions).registered(service))
+    }
+
+    /// The sole version of a service, if this host is current.
+    pub fn sole_version(&self, now: Instant, service: &str) -> Option<Arc<str>> {
+        let known = lock(&self.versions).sole(service).cloned();
+        known.filter(|_| self.can_deny(now))
+    }
+
     /// Whether an engine still accepts requests; one that has been chosen may leave before the
     /// request is sent.
     pub fn is_usable_engine(&self, engine: &Upstream) -> bool {
@@ -622,7 +737,16 @@
         let registry = lock(&self.registry);
         self.metrics.set_gauge("zones_out_of_service", registry.evacuations.zones().len() as u64);
         let mut cold: HashMap<Arc<str>, Instant> = HashMap::new();
+        let versions = lock(&self.versions);
         for upstream in registry.usable() {
+            if !versions.admits(&upstream.service, &upstream.version) {
+                log::debug!(
+                    "control: upstream waits for its version upstream={} version={}",
+                    upstream.id,
+                    upstream.version,
+                );
+                continue;
+            }
             let rules = config.services.get(&upstream.service).and_then(|service| service.cold);
             let until = rules.and_then(|rules| registry.cold_until(upstream, rules.time));
             if let Some(until) = until.filter(|until| *until > now) {
@@ -630,6 +754,7 @@
             }
             lists.entry(upstream.service.clone()).or_default().push(upstream.clone());
         }
+        drop(versions);
         let evacuated = registry.evacuated().filter(|upstream| upstream.is_decode());
         let evacuated: HashSet<Arc<str>> =
             evacuated.map(|upstream| upstream.service.clone()).collect();
--- a/crates/rosemarypitch-forward/src/router/placement.rs
+++ b/crates/rosemarypitch-forward/src/router/placement.rs
@@ -52,8 +52,9 @@
         {
             let mut pools = lock(&self.pools);
             let Some(pool) = pools.pools.get_mut(service) else { return Err(Duration::ZERO) };
+            let requeued = request.requeued;
             let waiting = request.with_ticket(ticket);
-            if request.requeued {
+            if requeued {
                 pool.requeue(waiting)
             } else {
                 pool.push(Instant::now(), waiting)
@@ -131,7 +132,7 @@
 }
 
 /// A request to be placed at a decode engine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct PlacementRequest {
     /// Prompt tokens.
     pub prompt: u64,
@@ -149,13 +150,26 @@
     pub expires: Instant,
     /// Whether the request had a slot before and has lost it.
     pub requeued: bool,
+    /// Software version of the engines that can serve it; none if all can.
+    pub version: Option<Arc<str>>,
 }
 
 impl PlacementRequest {
     fn with_ticket(self, ticket: Ticket) -> SlotRequest {
-        let Self { prompt, estimate, required, retried, regions, due, expires, requeued: _ } = self;
+        let Self { prompt, estimate, required, retried, regions, due, expires, version, .. } = self;
         let Estimate { output, cost } = estimate;
-        SlotRequest { ticket, prompt, output, required, cost, retried, regions, due, expires }
+        SlotRequest {
+            ticket,
+            prompt,
+            output,
+            required,
+            cost,
+            retried,
+            regions,
+            due,
+            expires,
+            version,
+        }
     }
 }
 
--- a/crates/rosemarypitch-forward/src/serve.rs
+++ b/crates/rosemarypitch-forward/src/serve.rs
@@ -26,6 +26,7 @@
 use crate::gossip::Gossip;
 use crate::router::{Router, StopPhase};
 use crate::stop::StopTimes;
+use crate::takeup;
 
 /// Time during which a stopping host still accepts callers: two readiness probes of the load
 /// balancer, one second apart, and some slack.
@@ -85,6 +86,8 @@
         let (secret, received) = oneshot::channel();
         tokio::spawn(control::follow(router.clone(), gossip.clone(), secret));
         tokio::spawn(announce::announce(router.clone()));
+        tokio::spawn(takeup::keep_versions(router.clone()));
+        tokio::spawn(takeup::record_streams(router.clone()));
         tokio::spawn(async move {
             if let Ok(secret) = received.await {
                 gossip.run(peers, secret).await;
--- a/crates/rosemarypitch-forward/src/snapshot.rs
+++ b/crates/rosemarypitch-forward/src/snapshot.rs
@@ -13,6 +13,7 @@
 use crate::config::ConfigSnapshot;
 use crate::deployment::StorePosition;
 use crate::registry::Upstream;
+use crate::versions::StoredVersion;
 
 /// A host's copy of the store's configuration, upstreams and evacuations.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -26,6 +27,8 @@
     pub upstreams: Vec<Upstream>,
     /// Data centres that are out of service.
     pub evacuated: Vec<Arc<str>>,
+    /// Entries of the services' sole versions.
+    pub versions: Vec<(Arc<str>, StoredVersion)>,
     /// Time since the sender was last current with the store, in milliseconds.
     pub age_ms: u64,
     /// Whether the store answers the sender.
--- a/crates/rosemarypitch-forward/src/watchers.rs
+++ b/crates/rosemarypitch-forward/src/watchers.rs
@@ -81,6 +81,8 @@
 pub struct UpdateLog {
     /// Position before the first batch.
     start: StorePosition,
+    /// Position that the log reaches, which may be after the last batch.
+    end: StorePosition,
     batches: VecDeque<(StorePosition, Vec<Update>)>,
 }
 
@@ -88,6 +90,7 @@
     /// Drops all batches after a full read up to `position`.
     pub fn reset(&mut self, position: StorePosition) {
         self.start = position;
+        self.end = position;
         self.batches.clear();
     }
 
@@ -96,7 +99,11 @@
         if position.era != self.start.era {
             return self.reset(position);
         }
-        if position <= self.end() {
+        if position <= self.end {
+            return;
+        }
+        self.end = position;
+        if updates.is_empty() {
             return;
         }
         self.batches.push_back((position, updates));
@@ -107,11 +114,6 @@
         }
     }
 
-    /// Position that the log reaches.
-    pub fn end(&self) -> StorePosition {
-        self.batches.back().map_or(self.start, |(position, _)| *position)
-    }
-
     /// Updates after `position`, if there are any yet; none if the log does not reach back so
     /// far, or is of another era.
     ///
@@ -123,6 +125,6 @@
         }
         let later = self.batches.iter().filter(|(end, _)| *end > position);
         let updates = later.flat_map(|(_, updates)| updates.iter().cloned()).collect();
-        Some(Updates { updates, position: self.end() })
+        Some(Updates { updates, position: self.end })
     }
 }
--- a/crates/rosemarypitch-forward/tests/cold.rs
+++ b/crates/rosemarypitch-forward/tests/cold.rs
@@ -162,6 +162,7 @@
         regions,
         due,
         expires: due,
+        version: None,
     }
 }
 
@@ -197,7 +198,7 @@
     let now = Instant::now();
     let mut pool = engines(now, "p", 1);
     let mut prefill =
-        || pool.start_prefill(now, 1, 5_000, RegionSet::ALL, &[]).map(|e| e.id.clone());
+        || pool.start_prefill(now, 1, 5_000, RegionSet::ALL, "v1", &[]).map(|e| e.id.clone());
     let chosen: BTreeMap<Arc<str>, usize> =
         (0..8).filter_map(|_| prefill()).fold(BTreeMap::new(), |mut counts, id| {
             *counts.entry(id).or_default() += 1;
@@ -252,7 +253,7 @@
     let placed = placed(&pool.decide(now));
     assert_eq!(placed.len(), 8);
     assert!(placed.iter().all(|(_, engine)| &*engine.id == "far-d"));
-    let prefill = pool.start_prefill(now, 1, 10, north, &[]);
+    let prefill = pool.start_prefill(now, 1, 10, north, "v1", &[]);
     assert_eq!(prefill.map(|engine| engine.id.to_string()), Some("far-p".to_owned()));
 }
 
--- a/crates/rosemarypitch-forward/tests/pool.rs
+++ b/crates/rosemarypitch-forward/tests/pool.rs
@@ -45,6 +45,7 @@
         regions: RegionSet::ALL,
         due: now + TARGET,
         expires: now + TIMEOUT,
+        version: None,
     }
 }
 
@@ -182,15 +183,22 @@
 fn prompts_go_to_the_engine_with_the_smallest_backlog() {
     let now = Instant::now();
     let mut pool = pool(&[engine("p", Stage::Prefill), engine("q", Stage::Prefill)]);
-    let first = pool.start_prefill(now, 1, 5_000, RegionSet::ALL, &[]).expect("an engine");
-    let second = pool.start_prefill(now, 2, 5_000, RegionSet::ALL, &[]).expect("an engine");
+    let first = pool.start_prefill(now, 1, 5_000, RegionSet::ALL, "v1", &[]).expect("an engine");
+    let second = pool.start_prefill(now, 2, 5_000, RegionSet::ALL, "v1", &[]).expect("an engine");
     assert_ne!(first.id, second.id);
     pool.finish_prefill(now, &first.id, 1, PrefillEnd::Finished(Duration::from_millis(90)));
-    let third = pool.start_prefill(now, 3, 5_000, RegionSet::ALL, &[]).expect("an engine");
+    let third = pool.start_prefill(now, 3, 5_000, RegionSet::ALL, "v1", &[]).expect("an engine");
     assert_eq!(third.id, first.id);
     assert!(
-        pool.start_prefill(now, 4, 5_000, RegionSet::ALL, &[first.id.clone(), second.id.clone()])
-            .is_none()
+        pool.start_prefill(
+            now,
+            4,
+            5_000,
+            RegionSet::ALL,
+            "v1",
+            &[first.id.clone(), second.id.clone()]
+        )
+        .is_none()
     );
 }
 
@@ -198,11 +206,12 @@
 fn an_unreachable_engine_is_retried_after_a_backoff() {
     let now = Instant::now();
     let mut pool = pool(&[engine("p", Stage::Prefill)]);
-    pool.start_prefill(now, 1, 1, RegionSet::ALL, &[]);
+    pool.start_prefill(now, 1, 1, RegionSet::ALL, "v1", &[]);
     pool.finish_prefill(now, "p", 1, PrefillEnd::Failed(Outcome::Unreachable));
-    assert!(pool.start_prefill(now, 1, 1, RegionSet::ALL, &[]).is_none());
+    assert!(pool.start_prefill(now, 1, 1, RegionSet::ALL, "v1", &[]).is_none());
     assert!(
-        pool.start_prefill(now + Duration::from_millis(300), 2, 1, RegionSet::ALL, &[]).is_some()
+        pool.start_prefill(now + Duration::from_millis(300), 2, 1, RegionSet::ALL, "v1", &[])
+            .is_some()
     );
 }
 
@@ -270,14 +279,14 @@
             let cost = if by_cost { estimate.cost } else { 0.0 };
             let request =
                 SlotRequest { prompt, output: estimate.output, cost, ..slot_request(step, now) };
-            requests.insert(step, (request, output));
+            requests.insert(step, (request.clone(), output));
             pool.push(now, request);
             tally.requested += 1;
             tally.large_requested += u32::from(prompt > 8_300);
         }
         for decision in pool.decide(now) {
             let Decision::Place(ticket, engine) = decision else { continue };
-            let (request, output) = requests[&ticket];
+            let (request, output) = requests[&ticket].clone();
             let timely = u32::from(now + Duration::from_millis(150) <= request.due);
             tally.timely += timely;
             tally.large_timely += timely * u32::from(request.prompt > 8_300);
--- a/crates/rosemarypitch-forward/tests/snapshot.rs
+++ b/crates/rosemarypitch-forward/tests/snapshot.rs
@@ -35,7 +35,8 @@
     let upstreams = vec![support::upstream("i-1")];
     let evacuated = vec![Arc::from("behala")];
     let config = version.map(config);
-    Snapshot { position, config, upstreams, evacuated, age_ms: 20, direct: true }
+    let versions = Vec::new();
+    Snapshot { position, config, upstreams, evacuated, versions, age_ms: 20, direct: true }
 }
 
 #[test]
--- a/crates/rosemarypitch-forward/tests/speeds.rs
+++ b/crates/rosemarypitch-forward/tests/speeds.rs
@@ -91,7 +91,7 @@
             pools[host].set_row_prompts(&prompts);
         }
         let prompt = random.random_range(1_000..9_000);
-        let chosen = pools[host].start_prefill(now, ticket, prompt, RegionSet::ALL, &[]);
+        let chosen = pools[host].start_prefill(now, ticket, prompt, RegionSet::ALL, "v1", &[]);
         let id = chosen.expect("an engine").id.clone();
         // A report goes out with each request; nothing says when a prompt has been read.
         reports[host] =
@@ -138,7 +138,7 @@
     let sent = |tokens| vec![SentPrompts { tokens, reported: now }];
     pool.set_row_prompts(&HashMap::from([(Arc::from("e-0"), sent(8_000))]));
     let mut choose = |now, ticket| {
-        let chosen = pool.start_prefill(now, ticket, 1_000, RegionSet::ALL, &[]);
+        let chosen = pool.start_prefill(now, ticket, 1_000, RegionSet::ALL, "v1", &[]);
         let id = chosen.expect("an engine").id.clone();
         pool.finish_prefill(now, &id, ticket, PrefillEnd::Cancelled);
         id
@@ -163,6 +163,7 @@
         regions: RegionSet::ALL,
         due: now + TARGET,
         expires: now + TARGET * 3,
+        version: None,
     }
 }
 
@@ -210,14 +211,17 @@
         ticket += 1;
         let others: Vec<Arc<str>> =
             ["e-0", "e-1"].into_iter().filter(|other| **other != **id).map(Arc::from).collect();
-        pool.start_prefill(start, ticket, 5_000, RegionSet::ALL, &others).expect("an engine");
+        pool.start_prefill(start, ticket, 5_000, RegionSet::ALL, "v1", &others).expect("an engine");
         let end = PrefillEnd::Finished(Duration::from_millis(millis));
         pool.finish_prefill(start, id, ticket, end);
     };
     read(&mut pool, &list[0].id.clone(), 50);
     read(&mut pool, &list[1].id.clone(), 100);
     let best = |pool: &mut Pool, ticket| {
-        pool.start_prefill(start, ticket, 5_000, RegionSet::ALL, &[]).expect("an engine").id.clone()
+        pool.start_prefill(start, ticket, 5_000, RegionSet::ALL, "v1", &[])
+            .expect("an engine")
+            .id
+            .clone()
     };
     assert_eq!(&*best(&mut pool, 90), "e-0");
     pool.finish_prefill(start, "e-0", 90, PrefillEnd::Cancelled);
@@ -236,12 +240,12 @@
     for (ticket, millis) in [(0, 100), (1, 110), (2, 90)] {
         let tried: Vec<Arc<str>> =
             list.iter().map(|e| e.id.clone()).filter(|id| **id != *format!("e-{ticket}")).collect();
-        pool.start_prefill(now, ticket, 5_000, RegionSet::ALL, &tried).expect("an engine");
+        pool.start_prefill(now, ticket, 5_000, RegionSet::ALL, "v1", &tried).expect("an engine");
         let end = PrefillEnd::Finished(Duration::from_millis(millis));
         pool.finish_prefill(now, &format!("e-{ticket}"), ticket, end);
     }
     let mut order: Vec<String> = (10..13)
-        .filter_map(|ticket| pool.start_prefill(now, ticket, 5_000, RegionSet::ALL, &[]))
+        .filter_map(|ticket| pool.start_prefill(now, ticket, 5_000, RegionSet::ALL, "v1", &[]))
         .map(|engine| engine.id.to_string())
         .collect();
     order.sort();
--- a/crates/rosemarypitch-forward/tests/stopping.rs
+++ b/crates/rosemarypitch-forward/tests/stopping.rs
@@ -24,7 +24,18 @@
     let retried = false;
     let regions = RegionSet::ALL;
     let expires = due;
-    SlotRequest { ticket, prompt: 100, output, required, cost: 1.0, retried, regions, due, expires }
+    SlotRequest {
+        ticket,
+        prompt: 100,
+        output,
+        required,
+        cost: 1.0,
+        retried,
+        regions,
+        due,
+        expires,
+        version: None,
+    }
 }
 
 /// Queues a long and a short request at a pool whose only engine is full, and decides.
--- a/crates/rosemarypitch-forward/tests/support/mod.rs
+++ b/crates/rosemarypitch-forward/tests/support/mod.rs
@@ -18,5 +18,6 @@
         state: UpstreamState::Ready,
         stage: None,
         cold: Duration::ZERO,
+        version: Arc::from("v1"),
     }
 }
