--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -202,7 +202,7 @@
         Err(refusal) => {
             log::info!(
                 "call: refused attempt={} route={} customer={customer} cause={} ran={} \
-                 status={} retry_ms={} waited_ms={}",
+                 status={} retry_ms={} waited_ms={} takeup={}",
                 call.meta.attempt,
                 call.route.name,
                 refusal.cause.name(),
@@ -210,6 +210,7 @@
                 refusal.status().as_u16(),
                 refusal.retry_after.map_or(0, |retry| retry.as_millis()),
                 (now - call.start).as_millis(),
+                call.meta.takeup.is_some(),
             );
             router.metrics.record_response(
                 service,
