Streams that are taken up get tokens before new ones

Cause: a host that starts has empty buckets, and a take-up competed with all new requests for what came in.

Large new requests at this host get what is beyond. Hosts try in turn by a draw, since all see the same tokens.

Evidence: tests/limits.rs, one case each for the order and for the limit with 4 and 60 hosts; without the tokens set aside the first one fails.

--- a/crates/rosemarypitch-forward/src/call.rs
+++ b/crates/rosemarypitch-forward/src/call.rs
@@ -31,6 +31,11 @@
 /// `Retry-After` of refusals for which there is no better estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Interval between attempts to take tokens that were set aside.
+const TOKEN_POLL: Duration = Duration::from_millis(20);
+/// Longest wait for such tokens, as a fraction of the time that the caller still has.
+const MAX_WAIT_PART: f64 = 0.3;
+
 /// An authorized request, ready to be forwarded.
 pub struct Call {
     /// Request head as received.
@@ -181,7 +186,7 @@
 async fn respond(router: &Arc<Router>, call: Call) -> Response<ResponseBody> {
     let call = Arc::new(call);
     let served = async {
-        charge_quota(router, &call)?;
+        charge_quota(router, &call).await?;
         run(router, &call).await
     };
     let result = tokio::select! {
@@ -352,7 +357,7 @@
     call.meta.tokens.map_or(customer.flat_tokens, Tokens::total)
 }
 
-fn charge_quota(router: &Router, call: &Call) -> Result<(), Refusal> {
+async fn charge_quota(router: &Router, call: &Call) -> Result<(), Refusal> {
     let Some(customer) = &call.customer else { return Ok(()) };
     let tokens = charged_tokens(call, customer);
     let share = router.share();
@@ -363,7 +368,49 @@
         // Large requests can exhaust a limit between two periodic reports to other hosts.
         router.notify_usage();
     }
-    charged.map_err(|retry| Refusal::not_run(Cause::OverLimit).with_retry_after(retry))
+    let Err(retry) = charged else { return Ok(()) };
+    let refusal = Refusal::not_run(Cause::OverLimit).with_retry_after(retry);
+    if call.meta.takeup.is_none() || !call.route.kind.may_run_again() {
+        return Err(refusal);
+    }
+    await_tokens(router, call, customer, tokens).await.ok_or(refusal)
+}
+
+/// Waits for the tokens of a request that takes a stream up; none if they are not there before its
+/// caller gives up.
+async fn await_tokens(
+    router: &Router,
+    call: &Call,
+    customer: &Arc<Customer>,
+    tokens: u64,
+) -> Option<()> {
+    let start = Instant::now();
+    let wait = relay::idle_timeout(&call.route).min(call.remaining(start).mul_f64(MAX_WAIT_PART));
+    router.with_quota(|quota| quota.await_tokens(customer, tokens));
+    let _guard = TokenWait { router, customer, tokens };
+    while start.elapsed() < wait {
+        tokio::time::sleep(TOKEN_POLL).await;
+        let (now, share) = (Instant::now(), router.share());
+        let draw = rand::random_range(0.0..1.0);
+        if router.with_quota(|quota| quota.take_awaited(now, customer, share, tokens, draw)) {
+            router.notify_usage();
+            return Some(());
+        }
+    }
+    None
+}
+
+/// A request that waits for tokens; they are no longer set aside on drop.
+struct TokenWait<'a> {
+    router: &'a Router,
+    customer: &'a Customer,
+    tokens: u64,
+}
+
+impl Drop for TokenWait<'_> {
+    fn drop(&mut self) {
+        self.router.with_quota(|quota| quota.end_wait(self.customer, self.tokens));
+    }
 }
 
 fn refund_quota(router: &Router, call: &Call) {
--- a/crates/rosemarypitch-forward/src/quota.rs
+++ b/crates/rosemarypitch-forward/src/quota.rs
@@ -106,12 +106,21 @@
     /// When the buckets were first reconciled with those of other hosts.
     reconciled: Option<Instant>,
     buckets: HashMap<Arc<str>, Bucket>,
+    /// Tokens for which requests wait, by customer.
+    awaited: HashMap<Arc<str>, u64>,
 }
 
 impl Quota {
     /// Creates buckets that start full, or empty until other hosts report their fullness.
     pub fn new(rules: QuotaRules, full: bool) -> Self {
-        Self { rules, start_full: full, settled: full, reconciled: None, buckets: HashMap::new() }
+        Self {
+            rules,
+            start_full: full,
+            settled: full,
+            reconciled: None,
+            buckets: HashMap::new(),
+            awaited: HashMap::new(),
+        }
     }
 
     /// Changes the tolerated deviation.
@@ -132,15 +141,17 @@
         draw: f64,
     ) -> Result<(), Duration> {
         let Some(limit) = customer.limit else { return Ok(()) };
-        let overdraft = self.rules.allowance * OVERDRAFT_ALLOWANCE / share.hosts.max(1) as f64;
+        let overdraft = self.overdraft(share);
         let capacity = self.rules.capacity(limit, share);
+        let awaited = self.awaited.get(&customer.name).copied().unwrap_or(0);
         let bucket = self.bucket(now, &customer.name, limit, share);
         bucket.record_request(share, tokens);
         let reserve = capacity * SMALL_RESERVE;
         let small = tokens as f64 <= SMALL_REQUEST * capacity;
         let reserved = if small { 0.0 } else { reserve };
+        let awaited = if small { 0 } else { awaited };
         // A request larger than the capacity is admitted by a full bucket.
-        let needed = (tokens as f64 + reserved - overdraft).min(capacity);
+        let needed = (tokens as f64 + reserved - overdraft).min(capacity) + awaited as f64;
         let probability = bucket.admission_probability(share);
         if bucket.level() >= needed && (small || draw <= probability) {
             bucket.admit(tokens);
@@ -167,6 +178,47 @@
         Err(if unsettled { retry.min(UNSETTLED_RETRY) } else { retry })
     }
 
+    /// Tokens that a host may take from an empty bucket.
+    fn overdraft(&self, share: Share) -> f64 {
+        self.rules.allowance * OVERDRAFT_ALLOWANCE / share.hosts.max(1) as f64
+    }
+
+    /// Sets tokens aside for a request that takes a stream up: it was admitted once, and its caller
+    /// loses the stream if it has to compete with new ones again.
+    pub fn await_tokens(&mut self, customer: &Customer, tokens: u64) {
+        *self.awaited.entry(customer.name.clone()).or_default() += tokens;
+    }
+
+    /// Takes tokens that were set aside, if they are there.
+    ///
+    /// `draw` is a random number from 0 to 1. Other hosts see the same tokens until they learn who
+    /// has taken them, so on average only one of them tries at a time.
+    pub fn take_awaited(
+        &mut self,
+        now: Instant,
+        customer: &Customer,
+        share: Share,
+        tokens: u64,
+        draw: f64,
+    ) -> bool {
+        let Some(limit) = customer.limit else { return true };
+        let overdraft = self.overdraft(share);
+        let needed = (tokens as f64 - overdraft).min(self.rules.capacity(limit, share));
+        let bucket = self.bucket(now, &customer.name, limit, share);
+        let admitted = bucket.level() >= needed && draw * share.parts <= 1.0;
+        if admitted {
+            bucket.admit(tokens);
+        }
+        admitted
+    }
+
+    /// Ends the wait of a request for tokens that were set aside.
+    pub fn end_wait(&mut self, customer: &Customer, tokens: u64) {
+        if let Some(awaited) = self.awaited.get_mut(&customer.name) {
+            *awaited = awaited.saturating_sub(tokens);
+        }
+    }
+
     /// Refunds the tokens of a request that was not executed.
     pub fn refund(&mut self, customer: &str, tokens: u64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
--- a/crates/rosemarypitch-forward/tests/limits.rs
+++ b/crates/rosemarypitch-forward/tests/limits.rs
@@ -265,3 +265,60 @@
     // Both sides may also admit their overdraft.
     assert!(f64::from(admitted) <= 83_500.0 + 2.0 * 0.2 * 120_000.0 / 5.0 + 1_000.0, "{admitted}");
 }
+
+/// Streams that callers took up after a restart competed with new ones for an empty bucket, and
+/// most of them were lost.
+#[test]
+fn tokens_go_to_streams_that_are_taken_up_before_new_ones() {
+    let (start, customer) = (Instant::now(), customer(Some(LIMIT)));
+    let mut quota = Quota::new(RULES, false);
+    let tokens = 12_000;
+    quota.await_tokens(&customer, tokens);
+    let mut taken = None;
+    for step in 0..100 {
+        let now = start + ms(step * 10);
+        let new = quota.take(now, &customer, ALONE, tokens, 0.0).is_ok();
+        assert!(!new || taken.is_some(), "a new stream after {step} steps");
+        if taken.is_none() && quota.take_awaited(now, &customer, ALONE, tokens, DRAW) {
+            quota.end_wait(&customer, tokens);
+            taken = Some(step);
+        }
+    }
+    assert!(taken.is_some_and(|step| step <= 30), "{taken:?}");
+}
+
+/// Hosts whose streams are taken up at the same time see the same tokens until they learn of each
+/// other's use.
+#[rstest]
+#[case(4)]
+#[case(60)]
+fn streams_taken_up_at_many_hosts_stay_within_the_limit(#[case] hosts: usize) {
+    for seed in 0..5 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let (start, customer) = (Instant::now(), customer(Some(LIMIT)));
+        let mut quotas: Vec<Quota> = (0..hosts).map(|_| Quota::new(RULES, true)).collect();
+        let share = Share { parts: hosts as f64, hosts, lag: LAG };
+        let mut admitted = Vec::new();
+        let mut pending = Vec::new();
+        for step in 0..1_000 {
+            let time = ms(step * 20);
+            for host in 0..hosts {
+                let draw = random.random_range(0.0..1.0);
+                let now = start + time;
+                if quotas[host].take_awaited(now, &customer, share, 12_000, draw) {
+                    admitted.push((time, 12_000));
+                    pending.push((time, host));
+                }
+            }
+            // Each host learns of the others' use after the lag.
+            for (_, from) in pending.extract_if(.., |(at, _)| *at + LAG <= time) {
+                for host in (0..hosts).filter(|host| *host != from) {
+                    let change = TokenDelta { asked: 0, admitted: 12_000 };
+                    quotas[host].apply_remote(start + time, &customer, share, change);
+                }
+            }
+        }
+        let busiest = busiest_window(&admitted);
+        assert!(busiest as f64 <= allowed(), "seed {seed}: {busiest} of {}", allowed());
+    }
+}
