An answer with a status above 599 is none

Status 000, 099, 2000 and text were refused already, 600 and 999 were passed on: the parser takes three digits, and nothing else looked.

Change: such an answer counts as one of another server; the caller gets 502, or the answer of another one where the request may run again.

--- a/crates/rosemarypitch-forward/src/plain.rs
+++ b/crates/rosemarypitch-forward/src/plain.rs
@@ -342,7 +342,9 @@
 /// Classifies a response to the attempt `attempt`.
 pub fn classify(meta: &ResponseMeta, attempt: &str, status: StatusCode) -> ResponseClass {
     let other_attempt = meta.attempt.as_deref().is_some_and(|id| id != attempt);
-    if other_attempt || meta.encoded || status.is_informational() {
+    // Responses have no status above 599, though the parser accepts it.
+    let is_final = !status.is_informational() && status.as_u16() < 600;
+    if other_attempt || meta.encoded || !is_final {
         return ResponseClass::Mismatched;
     }
     // A success that also reports not to have run contradicts itself.
