Keep only the latest configuration for hosts that follow a watcher

Change: a later configuration replaces those of earlier batches in the log. Updates are applied in order to their end, so a host that is behind loses nothing.

Evidence: tests/watchers.rs: 70 versions held before, one with the change.

--- a/crates/rosemarypitch-forward/src/watchers.rs
+++ b/crates/rosemarypitch-forward/src/watchers.rs
@@ -76,6 +76,10 @@
     }
 }
 
+fn is_config(update: &Update) -> bool {
+    matches!(update, Update::Config(_))
+}
+
 /// The latest updates received by a watcher, in contiguous batches of one era of the store.
 #[derive(Debug, Default)]
 pub struct UpdateLog {
@@ -106,7 +110,16 @@
         if updates.is_empty() {
             return;
         }
-        self.batches.push_back((position, updates));
+        if updates.iter().any(is_config) {
+            // Only the latest one is of use to a host that is behind, and they may be large.
+            for (_, earlier) in &mut self.batches {
+                earlier.retain(|update| !is_config(update));
+            }
+        }
+        let last = updates.iter().rposition(is_config);
+        let kept = updates.into_iter().enumerate();
+        let kept = kept.filter(|(index, update)| !is_config(update) || Some(*index) == last);
+        self.batches.push_back((position, kept.map(|(_, update)| update).collect()));
         if self.batches.len() > MAX_BATCHES
             && let Some((first, _)) = self.batches.pop_front()
         {
--- a/crates/rosemarypitch-forward/tests/watchers.rs
+++ b/crates/rosemarypitch-forward/tests/watchers.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use rosemarypitch_forward::config::ConfigSnapshot;
 use rosemarypitch_forward::deployment::{StorePosition, Update};
 use rosemarypitch_forward::watchers::{Source, UpdateLog, source};
 use rstest::rstest;
@@ -106,3 +107,27 @@
     assert!(log.since(at(8)).is_none());
     assert!(log.since(at(12)).is_none());
 }
+
+/// A host kept the last 64 versions of a large configuration, and was killed for its memory.
+#[test]
+fn a_log_keeps_only_the_latest_configuration() {
+    let configs: Vec<Arc<ConfigSnapshot>> = (0..70)
+        .map(|version| Arc::new(ConfigSnapshot { version, ..ConfigSnapshot::default() }))
+        .collect();
+    let mut log = UpdateLog::default();
+    log.reset(at(10));
+    for (revision, pair) in (11..).zip(configs.chunks(2)) {
+        let mut updates: Vec<Update> = pair.iter().cloned().map(Update::Config).collect();
+        updates.push(removed("a"));
+        log.push(at(revision), updates);
+    }
+    let held = configs.iter().filter(|config| Arc::strong_count(config) > 1);
+    assert_eq!(held.map(|config| config.version).collect::<Vec<_>>(), [69]);
+    let relayed = log.since(at(20)).unwrap_or_default().updates;
+    let versions = relayed.iter().filter_map(|update| match update {
+        Update::Config(config) => Some(config.version),
+        _ => None,
+    });
+    assert_eq!(versions.collect::<Vec<_>>(), [69]);
+    assert_eq!(relayed.len(), 1 + 25);
+}
