--- a/crates/rosemarypitch-forward/tests/limits.rs
+++ b/crates/rosemarypitch-forward/tests/limits.rs
@@ -302,19 +302,20 @@
         let mut pending = Vec::new();
         for step in 0..1_000 {
             let time = ms(step * 20);
-            for host in 0..hosts {
+            for (host, quota) in quotas.iter_mut().enumerate() {
                 let draw = random.random_range(0.0..1.0);
                 let now = start + time;
-                if quotas[host].take_awaited(now, &customer, share, 12_000, draw) {
+                if quota.take_awaited(now, &customer, share, 12_000, draw) {
                     admitted.push((time, 12_000));
                     pending.push((time, host));
                 }
             }
             // Each host learns of the others' use after the lag.
             for (_, from) in pending.extract_if(.., |(at, _)| *at + LAG <= time) {
-                for host in (0..hosts).filter(|host| *host != from) {
+                let others = quotas.iter_mut().enumerate().filter(|(host, _)| *host != from);
+                for (_, quota) in others {
                     let change = TokenDelta { asked: 0, admitted: 12_000 };
-                    quotas[host].apply_remote(start + time, &customer, share, change);
+                    quota.apply_remote(start + time, &customer, share, change);
                 }
             }
         }
--- a/crates/rosemarypitch/tests/soak/main.rs
+++ b/crates/rosemarypitch/tests/soak/main.rs
@@ -4,9 +4,9 @@
 //! Each seed starts router processes with a simulated store, servers and clients. Every
 //! connection of a router to the store or to a server goes through a loopback proxy that can
 //! delay it, reset it, or stall one or both directions. Routers are paused, killed, stopped,
-//! restarted and given new settings. The store rejects calls, compacts its history and gets
-//! new configurations. Servers change how they respond. Clients and servers record all
-//! requests. The clock is not disturbed, because routers use the time of day only in logs.
+//! restarted and given new settings. The store rejects calls, compacts its history, comes back
+//! from older copies and gets new configurations. Servers change how they respond and ask for rest;
+//! the two decode engines have different versions. Clients and servers record all requests. The clock is not disturbed, because routers use the time of day only in logs.
 //!
 //! [`stops`] has planned work only, and clients that keep their connections.
 //!
@@ -87,26 +87,30 @@
     proxies: Vec<Proxy>,
     hosts: Vec<Process>,
     version: AtomicU64,
+    /// Entries of the servers, by key.
+    entries: Vec<(String, String)>,
 }
 
 impl Cluster {
     async fn start(folder: &std::path::Path, count: usize) -> Self {
         let store = Arc::new(Store::default());
         store.put("op/config", &configuration(1));
-        let (mut servers, mut proxies) = (Vec::new(), Vec::new());
+        let (mut servers, mut proxies, mut entries) = (Vec::new(), Vec::new(), Vec::new());
         let stages = [
-            ("desk", None),
-            ("desk", None),
-            ("model", Some("prefill")),
-            ("model", Some("decode")),
-            ("model", Some("decode")),
+            ("v1", "desk", None),
+            ("v1", "desk", None),
+            ("v1", "model", Some("prefill")),
+            ("v1", "model", Some("decode")),
+            ("v2", "model", Some("decode")),
         ];
-        for (number, (service, stage)) in stages.into_iter().enumerate() {
+        for (number, (version, service, stage)) in stages.into_iter().enumerate() {
             let server = Server::start(&format!("i-{number}"), Behavior::Good).await;
             let proxy = Proxy::start(server.address).await;
-            let entry = server.entry(service, "ready", stage);
+            let entry = server.entry_of(version, service, "ready", stage);
             let entry = entry.replace(&server.address.to_string(), &proxy.address.to_string());
-            store.put(&format!("servers/{}", server.id), &entry);
+            let key = format!("servers/{}", server.id);
+            store.put(&key, &entry);
+            entries.push((key, entry));
             servers.push(server);
             proxies.push(proxy);
         }
@@ -121,14 +125,25 @@
         for host in &hosts {
             host.write_settings("bootstrapEnabled=false\n");
         }
-        Self { store, servers, proxies, hosts, version: AtomicU64::new(1) }
+        Self { store, servers, proxies, hosts, version: AtomicU64::new(1), entries }
+    }
+
+    /// Restores the store from a copy made shortly before. The operators and the servers write
+    /// theirs again.
+    async fn roll_back(&self, random: &mut StdRng) {
+        let copy = self.store.copy();
+        tokio::time::sleep(Duration::from_millis(random.random_range(50..600))).await;
+        self.store.restore(&copy);
+        tokio::time::sleep(Duration::from_millis(random.random_range(0..300))).await;
+        self.store.put("op/config", &configuration(self.version.load(Ordering::Relaxed)));
+        self.entries.iter().for_each(|(key, entry)| self.store.put(key, entry));
     }
 
     /// Injects one random fault and pauses.
     async fn inject_fault(&mut self, random: &mut StdRng) {
         let index = random.random_range(0..self.hosts.len());
         let host = &mut self.hosts[index];
-        match random.random_range(0..12) {
+        match random.random_range(0..14) {
             0 => {
                 host.signal("-STOP");
                 tokio::time::sleep(Duration::from_millis(random.random_range(50..900))).await;
@@ -166,11 +181,14 @@
                     Behavior::Stall,
                     Behavior::Truncated,
                     Behavior::Extra,
+                    Behavior::Resting("0.7"),
+                    Behavior::RestingCommand("0.7"),
                 ];
                 let behavior = behaviors[random.random_range(0..behaviors.len())];
                 let server = random.random_range(0..self.servers.len());
                 self.servers[server].set_behavior(behavior);
             }
+            9 | 10 => self.roll_back(random).await,
             _ => self.proxies[random.random_range(0..self.proxies.len())].set_random_mode(random),
         }
         tokio::time::sleep(Duration::from_millis(random.random_range(0..FAULT_PAUSE_MS))).await;
@@ -191,8 +209,13 @@
     let mut runs: HashMap<String, u32> = HashMap::new();
     let mut keys = HashSet::new();
     let mut greedy = Vec::new();
-    for request in servers.iter().flat_map(Server::ran) {
+    let mut tales: HashMap<String, Vec<(Instant, bool, &str)>> = HashMap::new();
+    for (server, request) in servers.iter().flat_map(|s| s.ran().into_iter().map(move |r| (s, r))) {
         let attempt = request.header("rosemarypitch-attempt-id").unwrap_or_default().to_owned();
+        if request.line.contains("/tale/") {
+            let resumed = request.header("last-event-id").is_some();
+            tales.entry(attempt.clone()).or_default().push((request.at, resumed, &server.id));
+        }
         *runs.entry(attempt.clone()).or_default() += 1;
         let retryable =
             ["/look/", "/tale/", "/feed/"].iter().any(|path| request.line.contains(path));
@@ -204,6 +227,15 @@
         }
         keys.extend(request.header("rosemarypitch-credential").map(str::to_owned));
     }
+    for (attempt, mut tale) in tales {
+        tale.sort();
+        // Runs before the last one from the start brought no event.
+        let start = tale.iter().rposition(|(_, resumed, _)| !resumed).unwrap_or(0);
+        let engines: HashSet<&str> = tale[start..].iter().map(|(_, _, id)| *id).collect();
+        if engines.len() > 1 {
+            violations.push(format!("{attempt}: went on at another version: {tale:?}"));
+        }
+    }
     for (attempt, status) in responses.statuses.lock().unwrap().iter() {
         if [401, 404, 408, 421, 429, 503].contains(status) && runs.contains_key(attempt) {
             violations.push(format!("{attempt}: status {status}, but a server executed it"));
