--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use crate::util::{identifier, reset, Reader};
+use crate::util::{Reader, identifier, reset};
 
 /// A request of a client.
 #[derive(Clone, Debug)]
@@ -22,7 +22,12 @@
 }
 
 impl Request {
-    pub fn new(method: &'static str, path: &'static str, key: &'static str, deadline_ms: u64) -> Self {
+    pub fn new(
+        method: &'static str,
+        path: &'static str,
+        key: &'static str,
+        deadline_ms: u64,
+    ) -> Self {
         let attempt = identifier();
         Self { attempt, method, path, key, deadline_ms, tokens: None, takeup: None }
     }
@@ -113,7 +118,12 @@
         while let Some(end) = text.find("\n\n") {
             let event: String = text.drain(..end + 2).collect();
             let field = |name: &str| {
-                event.lines().find_map(|line| line.strip_prefix(name)).unwrap_or("").trim().to_owned()
+                event
+                    .lines()
+                    .find_map(|line| line.strip_prefix(name))
+                    .unwrap_or("")
+                    .trim()
+                    .to_owned()
             };
             let id = field("id:").parse().unwrap_or(0);
             answer.events.push(Event { id, data: field("data:") });
--- a/review/standin-3/host.rs
+++ b/review/standin-3/host.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::util::{end_with_parent, random, signal, wait_until, Reader, SIGKILL, SIGTERM};
+use crate::util::{Reader, SIGKILL, SIGTERM, end_with_parent, random, signal, wait_until};
 
 /// The link of one machine to the store.
 pub struct Link {
@@ -48,7 +48,12 @@
 }
 
 /// Copies bytes; those that arrive while the link is silent are lost, and so is their connection.
-fn pump(mut from: TcpStream, mut to: TcpStream, cut: Arc<AtomicBool>, count: Option<Arc<AtomicU64>>) {
+fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    cut: Arc<AtomicBool>,
+    count: Option<Arc<AtomicU64>>,
+) {
     thread::spawn(move || {
         let mut buffer = vec![0; 64 << 10];
         let mut dead = false;
--- a/review/standin-3/late_entry.rs
+++ b/review/standin-3/late_entry.rs
@@ -44,14 +44,20 @@
 }
 
 /// Sends requests to a machine at a rate, until `end`.
-fn load(host: &Host, rate: f64, end: Instant, sent: &Arc<Mutex<Vec<Sent>>>) -> Vec<thread::JoinHandle<()>> {
+fn load(
+    host: &Host,
+    rate: f64,
+    end: Instant,
+    sent: &Arc<Mutex<Vec<Sent>>>,
+) -> Vec<thread::JoinHandle<()>> {
     let pause = Duration::from_secs_f64(f64::from(WORKERS) / rate);
     let callers = host.callers;
     (0..WORKERS)
         .map(|index| {
             let (sent, name) = (sent.clone(), host.name.clone());
             thread::spawn(move || {
-                let mut next = Instant::now() + pause.mul_f64(f64::from(index) / f64::from(WORKERS));
+                let mut next =
+                    Instant::now() + pause.mul_f64(f64::from(index) / f64::from(WORKERS));
                 while next < end {
                     thread::sleep(next.saturating_duration_since(Instant::now()));
                     next += pause;
@@ -138,7 +144,9 @@
     if let Some(first) = sent.first().map(|entry| entry.at) {
         for Sent { host, attempt, at, status } in sent.iter() {
             let ms = |time: &Instant| time.saturating_duration_since(first).as_millis();
-            let run = arrived.get(attempt).map_or("not run".to_owned(), |at| format!("run at {}", ms(at)));
+            let run = arrived
+                .get(attempt)
+                .map_or("not run".to_owned(), |at| format!("run at {}", ms(at)));
             case.note(format!("ms {}: {attempt} to {host}, {status}, {run}", ms(at)));
         }
     }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,9 +5,9 @@
 //! With `TROUBLE=0` in the environment there is no disruption.
 
 mod client;
-mod ghost;
 mod host;
 mod late_entry;
+mod leavers;
 mod server;
 mod store;
 mod util;
@@ -63,8 +63,8 @@
         std::process::exit(2);
     };
     let run: fn(&Case) -> Verdict = match name.as_str() {
-        "ghost" => ghost::run,
         "late-entry" => late_entry::run,
+        "leavers-drill" => leavers::drill,
         "mixed-versions" => versions::mixed,
         "unknown-version" => versions::unknown,
         _ => {
