No stream goes on by a copy of the sole version

Cause: when a take-up could not read the store, the host went by its copy of the service's sole version for 2 s after it was last current. The other hosts use a new version as soon as the store has acknowledged that there is no sole one any more, so the copy is wrong just then. A host that stood still would have taken it for young, too: its steady clock need not have run.

Change: a take-up never uses the copy. It goes by what the host knows of the stream itself or by an answer of the store to a read made after the take-up arrived. This needs no clock: the stream began before the read. The log line of a take-up names the copy as evidence.

--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod departures;
+mod streams;
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -136,6 +137,7 @@
         tokio::spawn(self.clone().exchange_with_partners(peers.clone()));
         tokio::spawn(self.clone().share_crashes(peers.clone()));
         tokio::spawn(self.clone().share_departures(peers.clone()));
+        tokio::spawn(self.clone().answer_queries(peers.clone()));
         tokio::spawn(self.clone().run_pool_updates());
         let mut due = Instant::now();
         loop {
@@ -492,6 +494,9 @@
                     self.receive_departures(&from.host, &departures);
                     PeerReply::Done
                 }
+                PeerRequest::StreamVersion { service, first } => {
+                    PeerReply::StreamVersion(self.stream_version(&service, first.as_ref()).await)
+                }
                 _ => PeerReply::NotOwner,
             }
         })
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 use crate::balance::Balancer;
@@ -52,6 +52,9 @@
 /// Shortest time over which callers come back after a rest.
 const MIN_REST_SPREAD: Duration = Duration::from_millis(500);
 
+/// Most questions to other hosts about streams that wait to be sent.
+const MAX_QUERIES: usize = 256;
+
 /// Settings of a router.
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
@@ -147,6 +150,10 @@
     stream_change: Notify,
     /// Notified when streams have been recorded.
     stream_recorded: Notify,
+    /// Questions to other hosts about streams.
+    queries: mpsc::Sender<StreamQuery>,
+    /// Their receiver, until [`crate::gossip`] takes it.
+    receiver: Mutex<Option<mpsc::Receiver<StreamQuery>>>,
     /// Upstreams that leave, of which the neighbours have not been told.
     departures: Mutex<Vec<(Arc<str>, u64)>>,
     departed: Notify,
@@ -157,6 +164,17 @@
     configured_at: Mutex<Option<Instant>>,
 }
 
+/// Question to other hosts: which version began a stream.
+#[derive(Debug)]
+pub struct StreamQuery {
+    /// Service of the stream.
+    pub service: Arc<str>,
+    /// Attempt that brought its first event, if the caller has named it.
+    pub first: Option<Arc<str>>,
+    /// Receiver of the answer.
+    pub reply: oneshot::Sender<Option<Arc<str>>>,
+}
+
 /// Phase of a graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -182,6 +200,7 @@
         let limits = Mutex::new(limits);
         let largest = CallerBounds::default().body_bytes;
         let bodies = ByteAccount::new(settings.capacity.bodies(largest));
+        let (queries, receiver) = mpsc::channel(MAX_QUERIES);
         Self {
             settings,
             started: Instant::now(),
@@ -217,6 +236,8 @@
             streams: Mutex::default(),
             stream_change: Notify::new(),
             stream_recorded: Notify::new(),
+            queries,
+            receiver: Mutex::new(Some(receiver)),
             departures: Mutex::default(),
             departed: Notify::new(),
             limits,
@@ -616,10 +637,32 @@
         stored.resolve(&lock(&self.versions).registered(service))
     }
 
-    /// The sole version of a service, if this host is current.
-    pub fn sole_version(&self, now: Instant, service: &str) -> Option<Arc<str>> {
-        let known = lock(&self.versions).sole(service).cloned();
-        known.filter(|_| self.can_deny(now))
+    /// This host's copy of a service's sole version.
+    ///
+    /// Other hosts may already use another version, so a stream must not go on by it.
+    pub fn sole_version(&self, service: &str) -> Option<Arc<str>> {
+        lock(&self.versions).sole(service).cloned()
+    }
+
+    /// Asks other hosts which version began a stream; none if they cannot tell.
+    pub async fn query_stream(
+        &self,
+        service: &Arc<str>,
+        first: Option<&Arc<str>>,
+    ) -> Option<Arc<str>> {
+        let (reply, answer) = oneshot::channel();
+        let query = StreamQuery { service: service.clone(), first: first.cloned(), reply };
+        if let Err(error) = self.queries.try_send(query) {
+            log::info!("call: other hosts not asked for a version: {error}");
+            return None;
+        }
+        // The sender is dropped if this host has no connections to others yet.
+        answer.await.ok().flatten()
+    }
+
+    /// The receiver of questions to other hosts; none if it has been taken.
+    pub fn take_queries(&self) -> Option<mpsc::Receiver<StreamQuery>> {
+        lock(&self.receiver).take()
     }
 
     /// Whether an engine still accepts requests; one that has been chosen may leave before the
--- a/crates/rosemarypitch-forward/src/takeup.rs
+++ b/crates/rosemarypitch-forward/src/takeup.rs
@@ -1,6 +1,7 @@
 //! Records of streams in the store, and the version at which a caller's stream goes on.
 //!
-//! See [`crate::versions`] for what is recorded, and when.
+//! See [`crate::versions`] for what is recorded, and when. A host that does not reach the store asks
+//! other hosts for the version of a stream.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -137,21 +138,12 @@
         return Ok(None);
     };
     let (attempt, service) = (&call.meta.attempt, &call.service.name);
-    let own = first.as_ref().and_then(|first| router.own_stream(first));
-    let (found, source) = match own {
-        Some(version) => (Some(version), "host"),
-        None => match router.directory.stream_version(service, first.as_deref()).await {
-            Ok(stored) => (router.resolve_stream(service, stored), "store"),
-            Err(error) => {
-                log::info!("call: version not read attempt={attempt}: {error}");
-                (router.sole_version(Instant::now(), service), "memory")
-            }
-        },
-    };
+    let (found, source) = find_version(router, service, first.as_ref()).await;
     log::info!(
-        "call: stream taken up attempt={attempt} first={} version={} source={source}",
+        "call: stream taken up attempt={attempt} first={} version={} source={source} copy={}",
         first.as_deref().unwrap_or("-"),
         found.as_deref().unwrap_or("-"),
+        router.sole_version(service).as_deref().unwrap_or("-"),
     );
     let Some(version) = found else {
         let refusal = Refusal::not_run(Cause::UnknownVersion);
@@ -159,3 +151,40 @@
     };
     Ok(Some(version))
 }
+
+/// Version that began a stream, and who told it; none if several versions are possible.
+async fn find_version(
+    router: &Router,
+    service: &Arc<str>,
+    first: Option<&Arc<str>>,
+) -> (Option<Arc<str>>, &'static str) {
+    if let Some(version) = first.and_then(|first| router.own_stream(first)) {
+        return (Some(version), "host");
+    }
+    let lost = router.is_store_lost();
+    // A store that is lost may still answer, but probably only after a timeout.
+    if lost && let Some(version) = router.query_stream(service, first).await {
+        return (Some(version), "peers");
+    }
+    match stored_version(router, service, first).await {
+        Ok(version) => (version, "store"),
+        Err(error) => {
+            log::info!("call: version not read service={service}: {error}");
+            let found = if lost { None } else { router.query_stream(service, first).await };
+            (found, "peers")
+        }
+    }
+}
+
+/// Version that began a stream as the store says now; none if several versions are possible.
+///
+/// The stream began before the store is read. A copy of the service's sole version may be older
+/// than a stream of another version.
+pub async fn stored_version(
+    router: &Router,
+    service: &str,
+    first: Option<&Arc<str>>,
+) -> Result<Option<Arc<str>>, DirectoryError> {
+    let stored = router.directory.stream_version(service, first.map(AsRef::as_ref)).await?;
+    Ok(router.resolve_stream(service, stored))
+}
--- a/crates/rosemarypitch-gateway/src/handler.rs
+++ b/crates/rosemarypitch-gateway/src/handler.rs
@@ -53,7 +53,8 @@
         | PeerRequest::Snapshot { .. }
         | PeerRequest::Updates { .. }
         | PeerRequest::Crashes(_)
-        | PeerRequest::Departures(_) => PeerReply::NotOwner,
+        | PeerRequest::Departures(_)
+        | PeerRequest::StreamVersion { .. } => PeerReply::NotOwner,
         PeerRequest::Verify(attempts) => {
             let mut not_running = attempts;
             not_running.retain(|attempt| !host.running.contains(attempt));
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -75,6 +75,14 @@
     /// Names upstreams that have said in a response that they leave: their identifiers and
     /// incarnations.
     Departures(Vec<(Arc<str>, u64)>),
+    /// Asks which version of a service's upstreams began a stream, for a host that does not reach
+    /// the store.
+    StreamVersion {
+        /// The service.
+        service: Arc<str>,
+        /// Attempt that brought the stream's first event, if it is known.
+        first: Option<Arc<str>>,
+    },
 }
 
 /// A reply to a [`PeerRequest`].
@@ -111,6 +119,8 @@
     Updates(Option<Vec<u8>>),
     /// Identifiers of the offered records of crashed engines that the peer asks for.
     Crashes(Vec<u64>),
+    /// The version that began a stream; `None` if the peer cannot tell.
+    StreamVersion(Option<Arc<str>>),
 }
 
 /// Token counts and engine use of one host run.
