Hosts tell their row which streams they begin

Cause: a host with a copy of the sole version does not record its streams, and one that is cut off learns late that there is none any more, and then writes records to the store alone, which it does not reach. Nobody else knew the versions of its streams. The same holds for a host that stands still, is cut off from all others or is killed before it has recorded.

A take-up goes by that memory first; where neither it nor the store knows the stream, partners in other rows are asked. The version of a stream never changes, so what was told stays true. Reports between hosts keep their encoding: the message is a new one.

--- a/crates/rosemarypitch-forward/src/gossip.rs
+++ b/crates/rosemarypitch-forward/src/gossip.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::announce::HostEntry;
+use crate::begun::BegunStreams;
 use crate::counters::TokenDeltas;
 use crate::crash_exchange::CrashExchange;
 use crate::deployment::StorePosition;
@@ -52,6 +53,8 @@
     in_progress: Mutex<HashSet<Arc<str>>>,
     /// Which crash records the other hosts have.
     crashes: Mutex<CrashExchange>,
+    /// Which streams of this host the other hosts know.
+    begun: Mutex<BegunStreams>,
     /// Notified when a report arrives.
     reported: Notify,
     /// Client for calls to the other hosts, once this host may call them.
@@ -72,6 +75,7 @@
             table,
             in_progress: Mutex::default(),
             crashes: Mutex::default(),
+            begun: Mutex::default(),
             reported: Notify::new(),
             client: OnceLock::new(),
             relay_failed: Mutex::default(),
@@ -137,6 +141,7 @@
         tokio::spawn(self.clone().exchange_with_partners(peers.clone()));
         tokio::spawn(self.clone().share_crashes(peers.clone()));
         tokio::spawn(self.clone().share_departures(peers.clone()));
+        tokio::spawn(self.clone().tell_streams(peers.clone()));
         tokio::spawn(self.clone().answer_queries(peers.clone()));
         tokio::spawn(self.clone().run_pool_updates());
         let mut due = Instant::now();
@@ -494,8 +499,16 @@
                     self.receive_departures(&from.host, &departures);
                     PeerReply::Done
                 }
-                PeerRequest::StreamVersion { service, first } => {
-                    PeerReply::StreamVersion(self.stream_version(&service, first.as_ref()).await)
+                PeerRequest::Streams(streams) => {
+                    let now = Instant::now();
+                    for (version, digests) in &streams {
+                        self.router.add_told_streams(now, version, digests);
+                    }
+                    PeerReply::Done
+                }
+                PeerRequest::StreamVersion { service, first, read } => {
+                    let version = self.stream_version(&service, first.as_ref(), read).await;
+                    PeerReply::StreamVersion(version)
                 }
                 _ => PeerReply::NotOwner,
             }
--- a/crates/rosemarypitch-forward/src/lib.rs
+++ b/crates/rosemarypitch-forward/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub mod announce;
 pub mod balance;
+pub mod begun;
 pub mod body;
 pub mod bucket;
 pub mod budget;
--- a/crates/rosemarypitch-forward/src/peer_table.rs
+++ b/crates/rosemarypitch-forward/src/peer_table.rs
@@ -164,6 +164,11 @@
         self.hosts.get(host)?.address()
     }
 
+    /// The run of a host that sent its last report; 0 before the first.
+    pub fn incarnation(&self, host: &str) -> u64 {
+        self.hosts.get(host).map_or(0, |peer| peer.replica.seen.incarnation)
+    }
+
     /// Names of the other hosts.
     pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
         self.hosts.keys()
@@ -207,13 +212,18 @@
         reachable.filter_map(|(host, peer)| Some((host.clone(), peer.address()?))).collect()
     }
 
-    /// All reachable hosts, those of the row first, followed by partners in other rows.
-    pub fn reachable(&self, now: Instant) -> Vec<(Arc<str>, SocketAddr)> {
+    /// Reachable partners in other rows.
+    pub fn partners(&self, now: Instant) -> Vec<(Arc<str>, SocketAddr)> {
         let partners = self.remote.partners(now).filter_map(|host| {
             let address = self.hosts.get(host)?.address()?;
             Some((host.clone(), address))
         });
-        self.reachable_in_row(now).into_iter().chain(partners).collect()
+        partners.collect()
+    }
+
+    /// All reachable hosts, those of the row first, followed by partners in other rows.
+    pub fn reachable(&self, now: Instant) -> Vec<(Arc<str>, SocketAddr)> {
+        self.reachable_in_row(now).into_iter().chain(self.partners(now)).collect()
     }
 
     /// Whether a report of the host arrived recently. This is sent to the host, which needs it
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -38,7 +38,7 @@
 use crate::stop::StopTimes;
 use crate::tuning::PoolTuning;
 use crate::versions::{
-    StoredVersion, StreamLog, StreamRecord, StreamVersion, VersionChange, Versions,
+    StoredVersion, StreamLog, StreamRecord, StreamVersion, ToldStream, VersionChange, Versions,
 };
 use crate::watchers::{self, RelayedUpdates, UpdateLog};
 
@@ -150,6 +150,8 @@
     stream_change: Notify,
     /// Notified when streams have been recorded.
     stream_recorded: Notify,
+    /// Notified when a stream begins.
+    stream_begun: Notify,
     /// Questions to other hosts about streams.
     queries: mpsc::Sender<StreamQuery>,
     /// Their receiver, until [`crate::gossip`] takes it.
@@ -171,6 +173,8 @@
     pub service: Arc<str>,
     /// Attempt that brought its first event, if the caller has named it.
     pub first: Option<Arc<str>>,
+    /// Whether the hosts have to read the store.
+    pub read: bool,
     /// Receiver of the answer.
     pub reply: oneshot::Sender<Option<Arc<str>>>,
 }
@@ -236,6 +240,7 @@
             streams: Mutex::default(),
             stream_change: Notify::new(),
             stream_recorded: Notify::new(),
+            stream_begun: Notify::new(),
             queries,
             receiver: Mutex::new(Some(receiver)),
             departures: Mutex::default(),
@@ -592,6 +597,7 @@
     pub fn begin_stream(&self, now: Instant, service: &Arc<str>, record: StreamRecord) -> bool {
         let due = lock(&self.versions).must_record(service, &record.version);
         lock(&self.streams).begin(now, service, record);
+        self.stream_begun.notify_one();
         if due {
             self.stream_change.notify_one();
         }
@@ -627,8 +633,23 @@
         }
     }
 
-    /// Version of a stream that this host has begun.
-    pub fn own_stream(&self, attempt: &str) -> Option<Arc<str>> {
+    /// Waits until streams have begun that the other hosts have to be told of.
+    pub async fn streams_begun(&self) {
+        self.stream_begun.notified().await;
+    }
+
+    /// Takes the streams that the other hosts have to be told of.
+    pub fn take_untold_streams(&self) -> Vec<ToldStream> {
+        lock(&self.streams).take_untold()
+    }
+
+    /// Adds streams that another host has begun at a version.
+    pub fn add_told_streams(&self, now: Instant, version: &Arc<str>, digests: &[u64]) {
+        lock(&self.streams).add_told(now, version, digests);
+    }
+
+    /// Version of a stream that this host or another one of its row has begun.
+    pub fn known_stream(&self, attempt: &str) -> Option<Arc<str>> {
         lock(&self.streams).version(attempt).cloned()
     }
 
@@ -644,14 +665,16 @@
         lock(&self.versions).sole(service).cloned()
     }
 
-    /// Asks other hosts which version began a stream; none if they cannot tell.
+    /// Asks other hosts which version began a stream; none if they cannot tell. With `read` they
+    /// read the store.
     pub async fn query_stream(
         &self,
         service: &Arc<str>,
         first: Option<&Arc<str>>,
+        read: bool,
     ) -> Option<Arc<str>> {
         let (reply, answer) = oneshot::channel();
-        let query = StreamQuery { service: service.clone(), first: first.cloned(), reply };
+        let query = StreamQuery { service: service.clone(), first: first.cloned(), read, reply };
         if let Err(error) = self.queries.try_send(query) {
             log::info!("call: other hosts not asked for a version: {error}");
             return None;
--- a/crates/rosemarypitch-forward/src/takeup.rs
+++ b/crates/rosemarypitch-forward/src/takeup.rs
@@ -158,22 +158,25 @@
     service: &Arc<str>,
     first: Option<&Arc<str>>,
 ) -> (Option<Arc<str>>, &'static str) {
-    if let Some(version) = first.and_then(|first| router.own_stream(first)) {
+    if let Some(version) = first.and_then(|first| router.known_stream(first)) {
         return (Some(version), "host");
     }
     let lost = router.is_store_lost();
     // A store that is lost may still answer, but probably only after a timeout.
-    if lost && let Some(version) = router.query_stream(service, first).await {
+    if lost && let Some(version) = router.query_stream(service, first, true).await {
         return (Some(version), "peers");
     }
-    match stored_version(router, service, first).await {
-        Ok(version) => (version, "store"),
+    let read = match stored_version(router, service, first).await {
+        Ok(Some(version)) => return (Some(version), "store"),
+        Ok(None) => false,
         Err(error) => {
             log::info!("call: version not read service={service}: {error}");
-            let found = if lost { None } else { router.query_stream(service, first).await };
-            (found, "peers")
+            true
         }
-    }
+    };
+    let asked = lost && read;
+    let found = if asked { None } else { router.query_stream(service, first, read).await };
+    (found, "peers")
 }
 
 /// Version that began a stream as the store says now; none if several versions are possible.
--- a/crates/rosemarypitch-forward/src/versions.rs
+++ b/crates/rosemarypitch-forward/src/versions.rs
@@ -6,13 +6,18 @@
 //! acknowledged that it has none any more. As long as there is none, each stream is recorded in the
 //! store when it begins.
 //!
+//! Hosts also tell their row which streams they begin, so that others can answer for one that is cut
+//! off, stands still or is gone.
+//!
 //! A sole version counts only in the store's era in which it was written: a store that was restored
 //! from a copy may have lost that there is none any more.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemarypitch_limit::rank;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -23,6 +28,10 @@
 pub const STREAM_TIME: Duration = Duration::from_secs(30);
 /// Most streams that are recorded in one call.
 pub const MAX_RECORDS: usize = 32;
+/// Most streams of other hosts that a host remembers; about 5 MB.
+const MAX_TOLD: usize = 1 << 16;
+/// Most streams that wait to be told to other hosts, which may take none for a while.
+const MAX_UNTOLD: usize = 1 << 12;
 
 /// Whether a service has a sole version, as the store has it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -192,10 +201,29 @@
     }
 }
 
-/// The streams that a host has begun recently.
+/// The streams that a host has begun recently, and those of other hosts that it has been told of.
 #[derive(Debug, Default)]
 pub struct StreamLog {
     streams: BTreeMap<Arc<str>, LoggedStream>,
+    /// Streams that the other hosts have not been told of.
+    untold: Vec<ToldStream>,
+    told: HashMap<u64, Arc<str>>,
+    /// Digests of the streams in `told`, in the order of their arrival.
+    arrivals: VecDeque<(Instant, u64)>,
+}
+
+/// A stream as hosts tell each other of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ToldStream {
+    /// Digest of the attempt that brought its first event.
+    pub digest: u64,
+    /// Version that began it.
+    pub version: Arc<str>,
+}
+
+/// Digest of the attempt that brings a stream's first event.
+pub fn stream_digest(attempt: &str) -> u64 {
+    rank("stream", attempt)
 }
 
 #[derive(Debug)]
@@ -221,13 +249,39 @@
     pub fn begin(&mut self, now: Instant, service: &Arc<str>, record: StreamRecord) {
         self.streams.retain(|_, stream| now.saturating_duration_since(stream.began) < STREAM_TIME);
         let StreamRecord { attempt, version } = record;
+        if self.untold.len() < MAX_UNTOLD {
+            let digest = stream_digest(&attempt);
+            self.untold.push(ToldStream { digest, version: version.clone() });
+        }
         let stream = LoggedStream { service: service.clone(), version, began: now, recorded: None };
         self.streams.insert(attempt, stream);
     }
 
-    /// Version of a stream that this host has begun.
+    /// Version of a stream that this host has begun, or that another one has told it of.
     pub fn version(&self, attempt: &str) -> Option<&Arc<str>> {
-        self.streams.get(attempt).map(|stream| &stream.version)
+        let own = self.streams.get(attempt).map(|stream| &stream.version);
+        own.or_else(|| self.told.get(&stream_digest(attempt)))
+    }
+
+    /// Takes the streams that the other hosts have to be told of.
+    pub fn take_untold(&mut self) -> Vec<ToldStream> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Adds streams of another host. The version of a stream never changes.
+    pub fn add_told(&mut self, now: Instant, version: &Arc<str>, digests: &[u64]) {
+        while let Some((at, digest)) = self.arrivals.front().copied()
+            && (now.saturating_duration_since(at) >= STREAM_TIME || self.told.len() >= MAX_TOLD)
+        {
+            self.arrivals.pop_front();
+            self.told.remove(&digest);
+        }
+        for digest in digests.iter().take(MAX_TOLD - self.told.len()) {
+            if let Entry::Vacant(entry) = self.told.entry(*digest) {
+                entry.insert(version.clone());
+                self.arrivals.push_back((now, *digest));
+            }
+        }
     }
 
     /// Whether a stream is recorded in the era of the store.
--- a/crates/rosemarypitch-gateway/src/handler.rs
+++ b/crates/rosemarypitch-gateway/src/handler.rs
@@ -54,6 +54,7 @@
         | PeerRequest::Updates { .. }
         | PeerRequest::Crashes(_)
         | PeerRequest::Departures(_)
+        | PeerRequest::Streams(_)
         | PeerRequest::StreamVersion { .. } => PeerReply::NotOwner,
         PeerRequest::Verify(attempts) => {
             let mut not_running = attempts;
--- a/crates/rosemarypitch-peer/src/message.rs
+++ b/crates/rosemarypitch-peer/src/message.rs
@@ -75,13 +75,17 @@
     /// Names upstreams that have said in a response that they leave: their identifiers and
     /// incarnations.
     Departures(Vec<(Arc<str>, u64)>),
-    /// Asks which version of a service's upstreams began a stream, for a host that does not reach
-    /// the store.
+    /// Names streams that the sender has begun, by the version that began them: digests of the
+    /// attempts.
+    Streams(Vec<(Arc<str>, Vec<u64>)>),
+    /// Asks which version of a service's upstreams began a stream.
     StreamVersion {
         /// The service.
         service: Arc<str>,
         /// Attempt that brought the stream's first event, if it is known.
         first: Option<Arc<str>>,
+        /// Whether to read the store, for a host that does not reach it.
+        read: bool,
     },
 }
 
