--- a/crates/rosemarypitch-forward/src/announce.rs
+++ b/crates/rosemarypitch-forward/src/announce.rs
@@ -41,8 +41,9 @@
             continue;
         }
         let current = router.store_position().position.era;
-        if std::mem::replace(&mut era, current) != current {
-            // A restored store may have the lease without the entry.
+        let restored = std::mem::replace(&mut era, current) != current;
+        // A restored store may have the lease without the entry.
+        if restored || router.take_entry_lost() {
             lease = None;
         }
         let delay = match renew(&router, lease).await {
@@ -61,8 +62,11 @@
             }
         };
         let delay = delay.mul_f64(rand::random_range(0.8..1.0));
-        // The timeout leads to the renewal.
-        let _ = tokio::time::timeout(delay, router.left_era(era)).await;
+        tokio::select! {
+            () = router.left_era(era) => {}
+            () = router.entry_lost() => {}
+            () = tokio::time::sleep(delay) => {}
+        }
     }
 }
 
--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -140,6 +140,7 @@
         // What the list says of versions belongs to its era.
         self.router.enter_era(entries.position.era);
         let hosts: Vec<Arc<str>> = rest.iter().filter_map(host_name).collect();
+        self.router.set_entry_lost(!hosts.contains(&self.router.settings.host));
         for update in rest {
             self.apply(now, update);
         }
@@ -332,8 +333,18 @@
                 self.router.update_registry(now, |registry| apply_upstream(now, registry, update));
             }
             Update::Version(service, stored) => self.router.set_version(&service, stored),
-            Update::Host(host, entry) => self.gossip.put_host(host, &entry),
-            Update::HostRemoved(host) => self.gossip.remove_host(&host),
+            Update::Host(host, entry) => {
+                if host == self.router.settings.host {
+                    self.router.set_entry_lost(false);
+                }
+                self.gossip.put_host(host, &entry);
+            }
+            Update::HostRemoved(host) => {
+                if host == self.router.settings.host {
+                    self.router.set_entry_lost(true);
+                }
+                self.gossip.remove_host(&host);
+            }
             Update::Secret(secret) => {
                 let known = self.secret.get_or_insert_with(|| secret.clone());
                 if *known != secret {
--- a/crates/rosemarypitch-forward/src/deployment.rs
+++ b/crates/rosemarypitch-forward/src/deployment.rs
@@ -303,6 +303,9 @@
     fn renew_lease(&self, lease: u64) -> DirectoryCall<'_, bool>;
 
     /// Writes this host's entry, which the store removes when the lease expires.
+    ///
+    /// A write that was not answered may be executed later. It must not replace a later one, whose
+    /// lease is the one that is renewed.
     fn announce<'a>(&'a self, host: &'a str, entry: Bytes, lease: u64) -> DirectoryCall<'a, ()>;
 
     /// Proposes the secret shared by all hosts; the first proposal wins.
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -127,6 +127,9 @@
     /// Until when the store may lack a configuration that it has acknowledged.
     unproven_until: Mutex<Option<Instant>>,
     store_lost: AtomicBool,
+    /// Whether the store lacks this host's entry.
+    entry_lost: AtomicBool,
+    entry_change: Notify,
     /// Updates of the store received by this host, for the hosts that follow it.
     update_log: Mutex<UpdateLog>,
     /// Notified when an update is received.
@@ -221,6 +224,8 @@
             position: watch::channel(StorePosition::default()).0,
             unproven_until: Mutex::default(),
             store_lost: AtomicBool::new(false),
+            entry_lost: AtomicBool::new(false),
+            entry_change: Notify::new(),
             update_log: Mutex::default(),
             updated: Notify::new(),
             share: Mutex::new(Share { parts: 1.0, hosts: 1, lag: Duration::ZERO }),
@@ -332,6 +337,25 @@
         lock(&self.unproven_until).is_some_and(|end| now < end)
     }
 
+    /// Records whether the store has this host's entry.
+    pub fn set_entry_lost(&self, lost: bool) {
+        let changed = self.entry_lost.swap(lost, Ordering::Relaxed) != lost;
+        if changed && lost {
+            log::info!("peers: entry missing from the store");
+            self.entry_change.notify_one();
+        }
+    }
+
+    /// Whether the store lacks this host's entry, which is going to be written again.
+    pub fn take_entry_lost(&self) -> bool {
+        self.entry_lost.swap(false, Ordering::Relaxed)
+    }
+
+    /// Waits until the store may lack this host's entry.
+    pub async fn entry_lost(&self) {
+        self.entry_change.notified().await;
+    }
+
     /// Waits until the store's era is another one than `era`.
     pub async fn left_era(&self, era: u64) {
         // The sender lives as long as the router, so this cannot fail.
