Silent connections to a store cost one time-out, not one each

Cause: a call that got no answer was tried again on another idle connection of the pool, which was silent too. Each cost 600 ms.

Change: ConnectionPool is replaced by an empty one when a call on it is not answered; calls that are under way keep their connections.

--- a/crates/rosemarypitch-standin/tests/contracts.rs
+++ b/crates/rosemarypitch-standin/tests/contracts.rs
@@ -17,7 +17,8 @@
 use rosemarypitch_upstream::{
     Endpoint, EngineClient, ErrorKind, Frame, HttpClient, HttpEngineClient,
 };
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 async fn bind() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -28,9 +29,13 @@
 async fn start_store(calls: u32) -> (HttpStore, SocketAddr) {
     let (listener, address) = bind().await;
     tokio::spawn(serve_store(listener, MemoryStore::new(Duration::ZERO)));
+    (client_of(address, calls), address)
+}
+
+fn client_of(address: SocketAddr, calls: u32) -> HttpStore {
     let count = IntCounterVec::new(Opts::new("calls", "calls"), &["step", "outcome"]);
     let timeout = Duration::from_millis(500);
-    (HttpStore::new(address, timeout, calls, count.expect("a counter")), address)
+    HttpStore::new(address, timeout, calls, count.expect("a counter"))
 }
 
 async fn set_faults(address: SocketAddr, faults: &'static str) {
@@ -92,6 +97,38 @@
     assert!(last.had_no_effect());
 }
 
+/// Forwards connections to an address until they are silenced; later ones are forwarded again.
+async fn start_proxy(to: SocketAddr, silence: Arc<Notify>) -> SocketAddr {
+    let (listener, address) = bind().await;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let silence = silence.clone();
+            tokio::spawn(async move {
+                let mut upstream = TcpStream::connect(to).await.expect("a connection");
+                tokio::select! {
+                    result = tokio::io::copy_bidirectional(&mut stream, &mut upstream) => {
+                        result.expect("a connection that ends")
+                    }
+                    () = silence.notified() => std::future::pending().await,
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Each attempt of a call was sent on the next silent connection, so that the call failed.
+#[tokio::test]
+async fn only_one_attempt_waits_for_silent_connections() {
+    let silence = Arc::new(Notify::new());
+    let store = client_of(start_proxy(start_store(1_000).await.1, silence.clone()).await, 1_000);
+    let read = || store.read("k");
+    let reads = tokio::join!(read(), read(), read(), read(), read());
+    assert!(reads.4.is_ok());
+    silence.notify_waiters();
+    assert_eq!(store.read("k").await.expect("an answer"), None);
+}
+
 fn attempt(request: u64) -> AttemptId {
     AttemptId { host: Arc::from("h"), incarnation: 1, request, attempt: 1 }
 }
--- a/crates/rosemarypitch-store/src/http_store.rs
+++ b/crates/rosemarypitch-store/src/http_store.rs
@@ -7,12 +7,10 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use rand::Rng;
 
 use crate::error::{ErrorKind, StoreError};
+use crate::pool::ConnectionPool;
 use crate::rate_limit::{CallCounter, RateLimiter};
 use crate::store::{Entry, Store, StoreFuture, SwapOutcome, Version};
 use crate::wire;
@@ -29,7 +27,7 @@
 /// Client of the key-value service.
 pub struct HttpStore {
     address: Arc<str>,
-    client: Client<HttpConnector, Full<Bytes>>,
+    pool: ConnectionPool,
     timeout: Duration,
     limiter: RateLimiter,
     counter: CallCounter,
@@ -45,16 +43,9 @@
         calls_per_s: u32,
         counter: CallCounter,
     ) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(timeout));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(POOL_IDLE)
-            .pool_timer(TokioTimer::new())
-            .retry_canceled_requests(false)
-            .build(connector);
+        let pool = ConnectionPool::new(timeout, POOL_IDLE);
         let address = Arc::from(address.to_string());
-        Self { address, client, timeout, limiter: RateLimiter::new(calls_per_s), counter }
+        Self { address, pool, timeout, limiter: RateLimiter::new(calls_per_s), counter }
     }
 
     async fn call(&self, request: &StoreRequest<'_>) -> Result<Response<Bytes>, StoreError> {
@@ -84,8 +75,9 @@
             .header(wire::WRITE_ID_HEADER, request.write_id)
             .body(Full::new(request.body.clone()))
             .map_err(|error| ErrorKind::Protocol(error.to_string()))?;
+        let pool = self.pool.current();
         let exchange = async {
-            let response = self.client.request(http_request).await.map_err(|error| {
+            let response = pool.client.request(http_request).await.map_err(|error| {
                 if error.is_connect() { ErrorKind::Unreachable } else { ErrorKind::OutcomeUnknown }
             })?;
             let (head, body) = response.into_parts();
@@ -94,6 +86,9 @@
             Ok(Response::from_parts(head, bytes))
         };
         let result = tokio::time::timeout(self.timeout + request.wait, exchange).await;
+        if result.is_err() {
+            self.pool.give_up(&pool);
+        }
         let response = result.unwrap_or(Err(ErrorKind::OutcomeUnknown))?;
         if response.status().is_server_error() {
             return Err(ErrorKind::OutcomeUnknown);
--- a/crates/rosemarypitch-store/src/lib.rs
+++ b/crates/rosemarypitch-store/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod error;
 mod http_store;
+mod pool;
 mod rate_limit;
 mod store;
 pub mod wire;
 
 pub use error::{ErrorKind, StoreError};
 pub use http_store::HttpStore;
+pub use pool::{ConnectionPool, Generation};
 pub use rate_limit::{CallCounter, RateLimiter};
 pub use store::{Entry, Store, StoreFuture, SwapOutcome, Version};
