--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -140,7 +140,8 @@
         // What the list says of versions belongs to its era.
         self.router.enter_era(entries.position.era);
         let hosts: Vec<Arc<str>> = rest.iter().filter_map(host_name).collect();
-        self.router.set_entry_lost(!hosts.contains(&self.router.settings.host));
+        // Before the first read the entry is being written.
+        self.router.set_entry_lost(known && !hosts.contains(&self.router.settings.host));
         for update in rest {
             self.apply(now, update);
         }
