No list of a restored store brings back a server that has left

Cause: the first list after a restore leaves out upstreams whose entries had been removed. The next full list, read after a compaction or relayed by a peer, still has the old entry until it lapses, and brought the upstream back.

Change: the registry remembers for four renewals that lists may be stale; until then only a write of the entry itself brings a removed upstream back. The full read at the end of that time is no longer cancelled by an earlier one.

--- a/crates/rosemarypitch-forward/src/control.rs
+++ b/crates/rosemarypitch-forward/src/control.rs
@@ -42,7 +42,7 @@
 const SLOW_READ_TIME: Duration = Duration::from_millis(700);
 /// Renewals of the upstreams' entries after which those that a restored store still has belong to
 /// live upstreams: an entry lapses after three.
-const REREAD_RENEWALS: u32 = 4;
+pub const REREAD_RENEWALS: u32 = 4;
 /// Shortest delay after failed calls to the store.
 const MIN_BACKOFF: Duration = Duration::from_millis(80);
 /// Longest delay after failed calls to the store.
@@ -123,8 +123,9 @@
         let known = self.position != StorePosition::default();
         let restored = known && entries.position.era > self.position.era;
         let outage = self.mark_reachable(now) || restored;
+        let reread_at = now + self.router.limits().renewal * REREAD_RENEWALS;
         if restored {
-            self.reread_at = Some(now + self.router.limits().renewal * REREAD_RENEWALS);
+            self.reread_at = Some(reread_at);
         }
         log::info!(
             "control: store read position={} facts={} outage={outage}",
@@ -148,7 +149,7 @@
         // Entries of hosts expire in an outage as those of upstreams do, and counting a host for
         // too long costs less than not counting it.
         if !outage {
-            self.reread_at = None;
+            self.reread_at = self.reread_at.filter(|at| now < *at);
             self.gossip.retain_hosts(&hosts);
         }
         // A peer may have relayed a later state during a slow read.
@@ -156,7 +157,7 @@
         if self.position == entries.position {
             self.router.update_registry(now, |registry| {
                 if restored {
-                    return registry.restore(now, upstreams, evacuated);
+                    return registry.restore(now, reread_at, upstreams, evacuated);
                 }
                 registry.replace(now, upstreams, outage);
                 registry.evacuations.replace(now, evacuated);
--- a/crates/rosemarypitch-forward/src/registry.rs
+++ b/crates/rosemarypitch-forward/src/registry.rs
@@ -9,7 +9,8 @@
 //! run of it; only a later run is used again.
 //!
 //! A store that is restored from a copy shows upstreams as they were seconds before. Those that
-//! have begun to leave or have been removed since stay so until they register again.
+//! have begun to leave or have been removed since stay so until they register again. Each list of
+//! the restored store shows those that were removed, whoever read it, until their entries lapse.
 //!
 //! Upstreams in a data centre that operators have taken out of service get none either.
 
@@ -100,6 +101,8 @@
     leaving: HashMap<Arc<str>, Leaving>,
     /// Upstreams whose entries have been removed.
     removed: HashMap<Arc<str>, Leaving>,
+    /// Until when the lists of a restored store may have entries that had been removed.
+    stale_until: Option<Instant>,
     /// Data centres whose upstreams get no requests.
     pub evacuations: Evacuations,
     /// Upstreams that bear few requests for a time.
@@ -127,8 +130,11 @@
         for entry in self.entries.values_mut() {
             entry.missing = true;
         }
+        let rolled_back = self.stale_until.is_some_and(|end| now < end);
         for upstream in list {
-            self.put(now, upstream);
+            if !(rolled_back && self.has_left(&upstream)) {
+                self.put(now, upstream);
+            }
         }
         if outage {
             self.keep_missing(now);
@@ -136,17 +142,20 @@
         self.expire(now);
     }
 
-    /// Replaces all entries by the list of a store that was restored from a copy.
-    pub fn restore(&mut self, now: Instant, list: Vec<Upstream>, evacuated: Vec<Arc<str>>) {
+    /// Replaces all entries by the list of a store that was restored from a copy. Until
+    /// `stale_until` it may list upstreams that have left.
+    pub fn restore(
+        &mut self,
+        now: Instant,
+        stale_until: Instant,
+        list: Vec<Upstream>,
+        evacuated: Vec<Arc<str>>,
+    ) {
         let draining = self.all().filter(|upstream| upstream.state == UpstreamState::Draining);
         for upstream in draining.cloned().collect::<Vec<_>>() {
             self.mark_leaving(now, &upstream.id, upstream.incarnation);
         }
-        let has_left = |upstream: &Upstream| {
-            let removed = self.removed.get(&upstream.id);
-            removed.is_some_and(|removed| upstream.incarnation <= removed.incarnation)
-        };
-        let list = list.into_iter().filter(|upstream| !has_left(upstream)).collect();
+        self.stale_until = Some(stale_until);
         self.replace(now, list, true);
         for zone in evacuated {
             self.evacuations.begin(zone);
@@ -194,6 +203,12 @@
         leaving.is_some_and(|leaving| upstream.incarnation <= leaving.incarnation)
     }
 
+    /// Whether the entry of an upstream has been removed, and not been written again since.
+    fn has_left(&self, upstream: &Upstream) -> bool {
+        let removed = self.removed.get(&upstream.id);
+        removed.is_some_and(|removed| upstream.incarnation <= removed.incarnation)
+    }
+
     /// Marks an entry as missing, and removes it unless missing entries are kept now.
     pub fn remove(&mut self, now: Instant, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -474,9 +474,10 @@
             return;
         }
         if snapshot.position > have.position {
+            let stale_until = now + self.limits().renewal * control::REREAD_RENEWALS;
             self.update_registry(now, |registry| {
                 if snapshot.position.era > have.position.era {
-                    registry.restore(now, snapshot.upstreams, snapshot.evacuated);
+                    registry.restore(now, stale_until, snapshot.upstreams, snapshot.evacuated);
                 } else {
                     registry.replace(now, snapshot.upstreams, false);
                     registry.evacuations.replace(now, snapshot.evacuated);
--- a/crates/rosemarypitch-forward/tests/upstreams.rs
+++ b/crates/rosemarypitch-forward/tests/upstreams.rs
@@ -31,6 +31,32 @@
     assert_eq!(names(&registry), ["b"]);
 }
 
+/// A full read after a compaction, or a list relayed by a host that has started since, brought
+/// back what the restore had left out.
+#[test]
+fn lists_of_a_restored_store_bring_back_no_upstream_that_has_left() {
+    let start = Instant::now();
+    let after = |seconds| start + Duration::from_secs(seconds);
+    let list = || vec![upstream("a"), upstream("b"), upstream("c")];
+    let mut registry = UpstreamRegistry::default();
+    registry.replace(start, list(), false);
+    registry.remove(start, "a");
+    registry.remove(start, "b");
+    registry.restore(after(1), after(6), list(), Vec::new());
+    assert_eq!(names(&registry), ["c"]);
+    registry.put(after(2), upstream("b"));
+    registry.replace(after(3), list(), false);
+    assert_eq!(names(&registry), ["b", "c"]);
+    registry.put(after(4), Upstream { incarnation: 2, ..upstream("a") });
+    assert_eq!(names(&registry), ["a", "b", "c"]);
+    registry.remove(after(5), "a");
+    registry.replace(after(5), list(), false);
+    assert_eq!(names(&registry), ["b", "c"]);
+    // Entries of servers that are gone have lapsed by then; what is listed has registered again.
+    registry.replace(after(6), list(), false);
+    assert_eq!(names(&registry), ["a", "b", "c"]);
+}
+
 #[test]
 fn a_draining_upstream_gets_no_new_requests() {
     let now = Instant::now();
