Streams that have begun go before new requests until their callers time out

Take-ups of known version were refused as busy, many at once, while nine in ten new streams began.

Cause: the target of a caller that takes a stream up counts from its first attempt, so the take-up was late on arrival. Late requests stand behind all timely ones and are refused by the forecast of what those leave.

Change: a stream that has begun (taken up by a caller, or resumed by this host) is never late. It waits for others of its kind only, and is refused when they are forecast to take until its caller times out, or when that time has come.

Test: a_stream_that_has_begun_goes_first_until_its_caller_times_out fails with the old rule.

--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -162,6 +162,7 @@
         call.meta.timeout.map_or(Duration::ZERO, |left| call.route.timeout.saturating_sub(left));
     let wait = (call.route.target * WAIT_TARGETS).max(MIN_WAIT);
     let wait = wait.mul_f64(router.settings.pool.wait_part);
+    let begun = after.is_some() || call.meta.takeup.is_some();
     let request = PlacementRequest {
         prompt: tokens.prompt,
         estimate,
@@ -171,11 +172,12 @@
         due: call.start + call.route.target.saturating_sub(age),
         expires: (call.start + wait).min(call.deadline),
         requeued,
+        begun,
         version: None,
     };
     let Some(position) = after else {
         // The caller has lost its stream if it cannot go on now.
-        let cost = if call.meta.takeup.is_some() { 0.0 } else { estimate.cost };
+        let cost = if begun { 0.0 } else { estimate.cost };
         return PlacementRequest { estimate: Estimate { cost, ..estimate }, ..request };
     };
     // A stream that is being resumed takes precedence over all that have not started.
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -5,7 +5,8 @@
 //! memory and slots are the bottleneck, not prefill. Requests therefore queue here, before
 //! they occupy any resource, until a decode engine has room. Among the requests whose first
 //! event can still meet its target, the cheapest is placed first, because that serves the
-//! most callers. Late requests follow while there is room. A request that is not forecast to
+//! most callers. Streams that have begun elsewhere go before them until their callers time out.
+//! Late requests follow while there is room. A request that is not forecast to
 //! be placed before its caller times out is refused at once, with the time after which room
 //! is expected.
 //!
@@ -79,6 +80,8 @@
     pub due: Instant,
     /// When the caller times out without a first event.
     pub expires: Instant,
+    /// Whether its stream has begun, and is lost if it does not go on.
+    pub begun: bool,
     /// Software version of the engines that can serve it; none if all can.
     pub version: Option<Arc<str>>,
 }
@@ -446,9 +449,10 @@
     /// Moves requests whose first event can no longer be on time to the late queue.
     fn demote(&mut self, now: Instant) {
         let speed = self.prefill_speed;
-        let moved = self
-            .timely
-            .extract_if(.., |request| now + prefill_time(request.prompt, speed) > request.due);
+        let is_late = |request: &mut SlotRequest| {
+            !request.begun && now + prefill_time(request.prompt, speed) > request.due
+        };
+        let moved = self.timely.extract_if(.., is_late);
         self.late.extend(moved);
         self.late.sort_by(|a, b| b.retried.cmp(&a.retried).then(a.cost.total_cmp(&b.cost)));
     }
@@ -542,7 +546,10 @@
             let time = request.due.saturating_duration_since(now).as_secs_f64();
             let late = ahead / drain > time * self.tuning.forecast_slack;
             let timeout = request.expires.saturating_duration_since(now).as_secs_f64();
-            if is_cut(request, ahead) || late && ahead / spare > timeout {
+            // New requests don't delay streams that have begun.
+            let (expired, rate) =
+                if request.begun { (timeout <= 0.0, drain) } else { (false, spare) };
+            if is_cut(request, ahead) || expired || late && ahead / rate > timeout {
                 refused.push(request.ticket);
             } else {
                 ahead += request.mean_memory() as f64;
--- a/crates/rosemarypitch-forward/src/router/placement.rs
+++ b/crates/rosemarypitch-forward/src/router/placement.rs
@@ -150,13 +150,17 @@
     pub expires: Instant,
     /// Whether the request had a slot before and has lost it.
     pub requeued: bool,
+    /// Whether its stream has begun, and is lost if it does not go on.
+    pub begun: bool,
     /// Software version of the engines that can serve it; none if all can.
     pub version: Option<Arc<str>>,
 }
 
 impl PlacementRequest {
     fn with_ticket(self, ticket: Ticket) -> SlotRequest {
-        let Self { prompt, estimate, required, retried, regions, due, expires, version, .. } = self;
+        let Self {
+            prompt, estimate, required, retried, regions, due, expires, begun, version, ..
+        } = self;
         let Estimate { output, cost } = estimate;
         SlotRequest {
             ticket,
@@ -168,6 +172,7 @@
             regions,
             due,
             expires,
+            begun,
             version,
         }
     }
--- a/crates/rosemarypitch-forward/tests/cold.rs
+++ b/crates/rosemarypitch-forward/tests/cold.rs
@@ -162,6 +162,7 @@
         regions,
         due,
         expires: due,
+        begun: false,
         version: None,
     }
 }
--- a/crates/rosemarypitch-forward/tests/pool.rs
+++ b/crates/rosemarypitch-forward/tests/pool.rs
@@ -45,6 +45,7 @@
         regions: RegionSet::ALL,
         due: now + TARGET,
         expires: now + TIMEOUT,
+        begun: false,
         version: None,
     }
 }
@@ -139,6 +140,33 @@
     assert_eq!(refused(&pool.decide(now + TIMEOUT)), [1]);
 }
 
+/// Streams that callers took up were refused at once as late, while new ones were placed.
+#[test]
+fn a_stream_that_has_begun_goes_first_until_its_caller_times_out() {
+    let now = Instant::now();
+    let mut pool = pool(&[engine("d", Stage::Decode)]);
+    let full = vec![StreamUse { held: 10, growth: 10 }; 12];
+    let full = HashMap::from([(Arc::from("d"), full)]);
+    pool.set_row_streams(&full);
+    for ticket in 0..20 {
+        pool.push(now, slot_request(ticket, now));
+    }
+    let begun = |ticket| {
+        let due = now - Duration::from_secs(2);
+        SlotRequest { due, cost: 0.0, retried: true, begun: true, ..slot_request(ticket, now) }
+    };
+    pool.push(now, begun(98));
+    pool.push(now, begun(99));
+    let soon = now + TIMEOUT / 2;
+    assert!(refused(&pool.decide(now)).iter().all(|ticket| *ticket < 20));
+    assert!(refused(&pool.decide(soon)).iter().all(|ticket| *ticket < 20));
+    pool.set_row_streams(&HashMap::new());
+    assert_eq!(placed(&pool.decide(soon))[..2], [98, 99]);
+    pool.set_row_streams(&full);
+    pool.push(now, begun(100));
+    assert!(refused(&pool.decide(now + TIMEOUT)).contains(&100));
+}
+
 #[test]
 fn a_cancelled_request_is_neither_placed_nor_refused() {
     let now = Instant::now();
--- a/crates/rosemarypitch-forward/tests/speeds.rs
+++ b/crates/rosemarypitch-forward/tests/speeds.rs
@@ -163,6 +163,7 @@
         regions: RegionSet::ALL,
         due: now + TARGET,
         expires: now + TARGET * 3,
+        begun: false,
         version: None,
     }
 }
--- a/crates/rosemarypitch-forward/tests/stopping.rs
+++ b/crates/rosemarypitch-forward/tests/stopping.rs
@@ -34,6 +34,7 @@
         regions,
         due,
         expires,
+        begun: false,
         version: None,
     }
 }
