The soak silences connections, executes writes late, loses entries, and takes streams up

New faults: open connections to the store go silent while a configuration changes; a write is executed 0.3 to 3 s late; the entry of a router is lost; a drill is followed by a compaction; a router stands still for up to 2.5 s; kills are twice as frequent. Clients take up streams that break off, at a random host, and streams come paced so that kills cut some. At the end each router must have its entry in the store.

--- a/crates/rosemarypitch/tests/soak/clients.rs
+++ b/crates/rosemarypitch/tests/soak/clients.rs
@@ -15,6 +15,8 @@
 
 /// Longest wait for a response; longer than the timeout of any route.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
+/// End of the identifier of an attempt that takes a stream up.
+pub const TAKEUP: char = 't';
 
 /// Responses of all clients.
 #[derive(Default)]
@@ -27,6 +29,10 @@
     pub unauthorized: Mutex<Vec<String>>,
     /// Number of complete 200 responses.
     pub served: AtomicU64,
+    /// Number of streams that broke off after some events.
+    pub broken: AtomicU64,
+    /// Number of these that went on to their end when they were taken up.
+    pub taken_up: AtomicU64,
 }
 
 /// A request of a client.
@@ -39,29 +45,63 @@
 
 /// Sends one request and records the response.
 pub async fn send(responses: &Responses, host: SocketAddr, call: &Call) {
+    exchange(responses, host, call, "", 0).await;
+}
+
+/// Sends a request; a stream that breaks off after some events is taken up at `next`.
+async fn send_stream(responses: &Responses, host: SocketAddr, next: SocketAddr, call: &Call) {
+    let events = exchange(responses, host, call, "", 0).await;
+    if events == 0 || call.path != "/tale/" {
+        return;
+    }
+    let first = &call.attempt;
+    let takeup = format!("last-event-id: {events}\r\nresumes: {first}\r\n");
+    let again = Call { attempt: format!("{first}{TAKEUP}"), ..call.clone() };
+    responses.broken.fetch_add(1, Ordering::Relaxed);
+    exchange(responses, next, &again, &takeup, events).await;
+}
+
+/// Sends a request with more headers for the rest of its body after `events`, and records the
+/// response. Returns the number of events received if the response breaks off.
+async fn exchange(
+    responses: &Responses,
+    host: SocketAddr,
+    call: &Call,
+    headers: &str,
+    events: usize,
+) -> usize {
     let Call { attempt, path, key } = call;
     let text = request("POST", path, key)
         .replace("attempt-id: a1", &format!("attempt-id: {attempt}"))
-        .replace("token-count: 5,5", "token-count: 100,100");
-    let Ok(mut stream) = TcpStream::connect(host).await else { return };
+        .replace("token-count: 5,5", "token-count: 100,100")
+        .replacen("\r\n", &format!("\r\n{headers}"), 1);
+    let Ok(mut stream) = TcpStream::connect(host).await else { return 0 };
     if stream.write_all(text.as_bytes()).await.is_err() {
-        return;
+        return 0;
     }
     let mut response = Vec::new();
     let read = stream.read_to_end(&mut response);
     let ended = matches!(tokio::time::timeout(RESPONSE_TIMEOUT, read).await, Ok(Ok(_)));
     let response = String::from_utf8_lossy(&response);
     let status = response.split(' ').nth(1).and_then(|text| text.parse::<u16>().ok());
-    let Some(status) = status else { return };
+    let Some(status) = status else { return 0 };
     responses.statuses.lock().unwrap().insert(attempt.clone(), status);
-    if status != 200 || !ended || !looks_complete(&response) {
-        return;
+    if status != 200 {
+        return 0;
+    }
+    if !ended || !looks_complete(&response) {
+        return response.matches("\n\n").count();
     }
     let own_attempt = response.contains(&format!("attempt-id: {attempt}\r\n"));
-    if !own_attempt || !response.contains("server-seal: ") || !has_expected_body(path, &response) {
+    if !own_attempt
+        || !response.contains("server-seal: ")
+        || !has_expected_body(path, &response, events)
+    {
         responses.invalid.lock().unwrap().push(format!("{attempt} {path}: {response}"));
     }
     responses.served.fetch_add(1, Ordering::Relaxed);
+    responses.taken_up.fetch_add(u64::from(events > 0), Ordering::Relaxed);
+    0
 }
 
 /// Whether the HTTP framing of a response marks its body as complete.
@@ -74,8 +114,8 @@
     length.is_none_or(|text| text.trim().parse() == Ok(body.len()))
 }
 
-/// Whether the body is the complete one that the server sends for a path.
-fn has_expected_body(path: &str, response: &str) -> bool {
+/// Whether the body is the complete one that the server sends for a path after some events.
+fn has_expected_body(path: &str, response: &str, events: usize) -> bool {
     let Some((head, body)) = response.split_once("\r\n\r\n") else { return false };
     let body: String = if head.contains("transfer-encoding: chunked") {
         let is_data = |part: &&str| !part.chars().all(|c| c.is_ascii_hexdigit());
@@ -83,7 +123,9 @@
     } else {
         body.to_owned()
     };
-    if matches!(path, "/tale/" | "/feed/") { body == full_stream() } else { body == "whole" }
+    let full = full_stream();
+    let rest: String = full.split_inclusive("\n\n").skip(events).collect();
+    if matches!(path, "/tale/" | "/feed/") { body == rest } else { body == "whole" }
 }
 
 /// Sends requests to random hosts and routes for `time`, then waits for their responses.
@@ -108,7 +150,8 @@
         let path = paths[random.random_range(0..paths.len())];
         let call = Call { attempt: format!("{prefix}{number:x}"), path, key: key(&mut random) };
         let responses = responses.clone();
-        tasks.push(tokio::spawn(async move { send(&responses, host, &call).await }));
+        let next = hosts[random.random_range(0..hosts.len())];
+        tasks.push(tokio::spawn(async move { send_stream(&responses, host, next, &call).await }));
         tokio::time::sleep(Duration::from_millis(random.random_range(1..20))).await;
     }
     for task in tasks {
--- a/crates/rosemarypitch/tests/soak/main.rs
+++ b/crates/rosemarypitch/tests/soak/main.rs
@@ -5,8 +5,11 @@
 //! connection of a router to the store or to a server goes through a loopback proxy that can
 //! delay it, reset it, or stall one or both directions. Routers are paused, killed, stopped,
 //! restarted and given new settings. The store rejects calls, compacts its history, comes back
-//! from older copies and gets new configurations. Servers change how they respond and ask for rest;
-//! the two decode engines have different versions. Clients and servers record all requests. The clock is not disturbed, because routers use the time of day only in logs.
+//! from older copies, lets its open connections go silent, executes a write late, loses the entry
+//! of a router and gets new configurations. Clients take up streams that break off. Servers change
+//! how they respond and ask for rest; the two decode engines have different versions. Clients and
+//! servers record all requests. The clock is not disturbed, because routers use the time of day
+//! only in logs.
 //!
 //! [`stops`] has planned work only, and clients that keep their connections.
 //!
@@ -143,13 +146,13 @@
     async fn inject_fault(&mut self, random: &mut StdRng) {
         let index = random.random_range(0..self.hosts.len());
         let host = &mut self.hosts[index];
-        match random.random_range(0..14) {
+        match random.random_range(0..18) {
             0 => {
                 host.signal("-STOP");
                 tokio::time::sleep(Duration::from_millis(random.random_range(50..900))).await;
                 host.signal("-CONT");
             }
-            1 => {
+            1 | 15 => {
                 host.signal("-KILL");
                 host.wait().await;
                 host.start();
@@ -180,6 +183,8 @@
                     Behavior::Disconnect,
                     Behavior::Stall,
                     Behavior::Truncated,
+                    Behavior::Paced,
+                    Behavior::Paced,
                     Behavior::Extra,
                     Behavior::Resting("0.7"),
                     Behavior::RestingCommand("0.7"),
@@ -188,7 +193,27 @@
                 let server = random.random_range(0..self.servers.len());
                 self.servers[server].set_behavior(behavior);
             }
-            9 | 10 => self.roll_back(random).await,
+            9 | 10 => {
+                let compacted = random.random_bool(0.5);
+                self.roll_back(random).await;
+                self.store.compacted.store(compacted, Ordering::SeqCst);
+            }
+            11 => {
+                self.store.silence_connections();
+                let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+                self.store.put("op/config", &configuration(version));
+            }
+            12 => {
+                let delay = Duration::from_millis(random.random_range(300..3_000));
+                *self.store.late.lock().unwrap() = Some(("", delay));
+            }
+            // As if its lease had ended.
+            13 => self.store.remove(&format!("hosts/h{index}")),
+            14 => {
+                host.signal("-STOP");
+                tokio::time::sleep(Duration::from_millis(random.random_range(1_000..2_500))).await;
+                host.signal("-CONT");
+            }
             _ => self.proxies[random.random_range(0..self.proxies.len())].set_random_mode(random),
         }
         tokio::time::sleep(Duration::from_millis(random.random_range(0..FAULT_PAUSE_MS))).await;
@@ -199,6 +224,7 @@
         self.proxies.iter().for_each(Proxy::clear_fault);
         self.servers.iter().for_each(|server| server.set_behavior(Behavior::Good));
         self.store.down.store(false, Ordering::SeqCst);
+        self.store.late.lock().unwrap().take();
     }
 }
 
@@ -214,7 +240,9 @@
         let attempt = request.header("rosemarypitch-attempt-id").unwrap_or_default().to_owned();
         if request.line.contains("/tale/") {
             let resumed = request.header("last-event-id").is_some();
-            tales.entry(attempt.clone()).or_default().push((request.at, resumed, &server.id));
+            // A take-up goes on with the stream of another attempt.
+            let first = attempt.trim_end_matches(clients::TAKEUP).to_owned();
+            tales.entry(first).or_default().push((request.at, resumed, &server.id));
         }
         *runs.entry(attempt.clone()).or_default() += 1;
         let retryable =
@@ -277,6 +305,7 @@
     std::fs::create_dir_all(&folder).unwrap();
     let mut random = StdRng::seed_from_u64(seed);
     let mut cluster = Cluster::start(&folder, count).await;
+    cluster.servers.iter().for_each(|server| server.set_behavior(Behavior::Paced));
     let hosts: Vec<_> = cluster.hosts.iter().map(|host| host.callers).collect();
     let responses = Arc::new(Responses::default());
     let key = |random: &mut StdRng| {
@@ -306,6 +335,16 @@
     let is_after_faults = |attempt: &&String| attempt.starts_with('b');
     let sent = responses.statuses.lock().unwrap().keys().filter(is_after_faults).count() as u64;
     violations.extend(find_violations(&responses, &cluster.servers));
+    let entries = cluster.store.keys("hosts/").len();
+    if entries != count {
+        violations.push(format!("{entries} of {count} hosts have entries in the store"));
+    }
+    let count_of = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+    println!(
+        "seed {seed}: {} streams broke off, {} of them went on",
+        count_of(&responses.broken),
+        count_of(&responses.taken_up),
+    );
     // Required: at least a quarter of the requests is served once the faults are over.
     if sent == 0 || served * 4 < sent {
         violations.push(format!("{served} of {sent} served after the faults"));
