--- a/crates/rosemarypitch-forward/src/router.rs
+++ b/crates/rosemarypitch-forward/src/router.rs
@@ -54,6 +54,8 @@
 
 /// Most questions to other hosts about streams that wait to be sent.
 const MAX_QUERIES: usize = 256;
+/// Longest wait for the answer to such a question.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Settings of a router.
 #[derive(Clone, Debug)]
@@ -704,8 +706,8 @@
             log::info!("call: other hosts not asked for a version: {error}");
             return None;
         }
-        // The sender is dropped if this host has no connections to others yet.
-        answer.await.ok().flatten()
+        // Nobody answers before this host has connections to others.
+        tokio::time::timeout(QUERY_TIMEOUT, answer).await.ok()?.ok()?
     }
 
     /// The receiver of questions to other hosts; none if it has been taken.
