--- a/crates/rosemarypitch-forward/src/generate/slot.rs
+++ b/crates/rosemarypitch-forward/src/generate/slot.rs
@@ -162,7 +162,7 @@
         call.meta.timeout.map_or(Duration::ZERO, |left| call.route.timeout.saturating_sub(left));
     let wait = (call.route.target * WAIT_TARGETS).max(MIN_WAIT);
     let wait = wait.mul_f64(router.settings.pool.wait_part);
-    let begun = after.is_some() || call.meta.takeup.is_some();
+    let begun = call.meta.takeup.is_some();
     let request = PlacementRequest {
         prompt: tokens.prompt,
         estimate,
--- a/crates/rosemarypitch-forward/src/pool.rs
+++ b/crates/rosemarypitch-forward/src/pool.rs
@@ -5,10 +5,9 @@
 //! memory and slots are the bottleneck, not prefill. Requests therefore queue here, before
 //! they occupy any resource, until a decode engine has room. Among the requests whose first
 //! event can still meet its target, the cheapest is placed first, because that serves the
-//! most callers. Streams that have begun elsewhere go before them until their callers time out.
-//! Late requests follow while there is room. A request that is not forecast to
-//! be placed before its caller times out is refused at once, with the time after which room
-//! is expected.
+//! most callers. Streams that callers take up go before them until their callers time out. Late
+//! requests follow while there is room. A request that is not forecast to be placed before its
+//! caller times out is refused at once, with the time after which room is expected.
 //!
 //! The room at an engine is its size less the streams of this host and those that other
 //! hosts report. The engine makes the final decision: when it refuses to reserve a slot,
@@ -80,7 +79,7 @@
     pub due: Instant,
     /// When the caller times out without a first event.
     pub expires: Instant,
-    /// Whether its stream has begun, and is lost if it does not go on.
+    /// Whether a caller takes its stream up, and loses it if it does not go on.
     pub begun: bool,
     /// Software version of the engines that can serve it; none if all can.
     pub version: Option<Arc<str>>,
@@ -546,7 +545,7 @@
             let time = request.due.saturating_duration_since(now).as_secs_f64();
             let late = ahead / drain > time * self.tuning.forecast_slack;
             let timeout = request.expires.saturating_duration_since(now).as_secs_f64();
-            // New requests don't delay streams that have begun.
+            // New requests don't delay streams that callers take up.
             let (expired, rate) =
                 if request.begun { (timeout <= 0.0, drain) } else { (false, spare) };
             if is_cut(request, ahead) || expired || late && ahead / rate > timeout {
--- a/crates/rosemarypitch-forward/src/router/placement.rs
+++ b/crates/rosemarypitch-forward/src/router/placement.rs
@@ -150,7 +150,7 @@
     pub expires: Instant,
     /// Whether the request had a slot before and has lost it.
     pub requeued: bool,
-    /// Whether its stream has begun, and is lost if it does not go on.
+    /// Whether a caller takes its stream up, and loses it if it does not go on.
     pub begun: bool,
     /// Software version of the engines that can serve it; none if all can.
     pub version: Option<Arc<str>>,
